Free calls that the loop outlives; silence waiting watches of the stand-in

Cause of the leaks: a call owned its exchange and the exchange's handlers own the call, so a call that was in progress when the loop ended was never freed.

A store that answers nothing answers waiting watches neither; the stand-in now drops them.

Ruled out: a lapse grace that starts too late; the reader that noticed the outage held the removal in all runs.

--- a/src/standin/platform_store_func.cc
+++ b/src/standin/platform_store_func.cc
@@ -89,8 +89,6 @@
     store.forgotten = store.history.front().revision;
     store.history.pop_front();
   }
-  if (store.mode == PlatformStoreMode::kSilent)
-    return;
   std::erase_if(store.watches, [&store](const PlatformWatch& watch) {
     return AnswerWatch(store, watch);
   });
@@ -202,14 +200,19 @@
   return {404, Json::object()};
 }
 
-void CutWatches(PlatformStore& store) {
-  for (const PlatformWatch& watch : store.watches) {
+// Ends the watches without an answer.
+void DropWatches(PlatformStore& store) {
+  for (const PlatformWatch& watch : store.watches)
     watch.timer->cancel();
-    ResetConnection(watch.connection);
-  }
   store.watches.clear();
 }
 
+void CutWatches(PlatformStore& store) {
+  for (const PlatformWatch& watch : store.watches)
+    ResetConnection(watch.connection);
+  DropWatches(store);
+}
+
 void OnCall(const PlatformStorePtr& store, const ConnectionPtr& connection) {
   const std::string path(RequestPath(*connection));
   ++store->calls[path];
@@ -282,7 +285,9 @@
 
 void SetPlatformStoreMode(PlatformStore& store, PlatformStoreMode mode) {
   store.mode = mode;
-  if (mode != PlatformStoreMode::kUp && mode != PlatformStoreMode::kSilent)
+  if (mode == PlatformStoreMode::kSilent)
+    DropWatches(store);
+  else if (mode != PlatformStoreMode::kUp)
     CutWatches(store);
 }
 
@@ -304,9 +309,7 @@
 }
 
 void StopPlatformStore(PlatformStore& store) {
-  for (const PlatformWatch& watch : store.watches)
-    watch.timer->cancel();
-  store.watches.clear();
+  DropWatches(store);
   StopServer(*store.server);
 }
 
--- a/src/upstream/whole_call.cc
+++ b/src/upstream/whole_call.cc
@@ -10,23 +10,29 @@
   WholeAnswer answer;
   std::size_t max_body_bytes = 0;
   std::function<void(WholeAnswer)> on_end;
-  // Broken by on_end, which every exchange reaches.
-  std::shared_ptr<Exchange> exchange;
+  // The exchange owns this call through its handlers, which run only while it
+  // lives. Owning it in turn would leak both when the loop ends before them.
+  std::weak_ptr<Exchange> exchange;
 };
 
+void Resume(const Call& call) {
+  if (const auto exchange = call.exchange.lock())
+    exchange->Resume();
+}
+
 void OnBody(Call& call, std::string_view part) {
   if (call.answer.body.size() + part.size() > call.max_body_bytes) {
     call.answer.too_large = true;
-    call.exchange->Cancel();
+    if (const auto exchange = call.exchange.lock())
+      exchange->Cancel();
     return;
   }
   call.answer.body.append(part);
-  call.exchange->Resume();
+  Resume(call);
 }
 
 void OnEnd(Call& call, const ExchangeEnd& end) {
   call.answer.end = end;
-  call.exchange.reset();
   auto on_end = std::move(call.on_end);
   on_end(std::move(call.answer));
 }
@@ -44,12 +50,12 @@
   ExchangeHandlers handlers;
   handlers.on_header = [call](const HttpHeader& header) {
     call->answer.header = header;
-    call->exchange->Resume();
+    Resume(*call);
   };
   handlers.on_body = [call](std::string_view part) { OnBody(*call, part); };
   handlers.on_end = [call](const ExchangeEnd& end) { OnEnd(*call, end); };
-  call->exchange = std::make_shared<Exchange>(loop, pool, std::move(handlers));
-  auto exchange = call->exchange;
+  auto exchange = std::make_shared<Exchange>(loop, pool, std::move(handlers));
+  call->exchange = exchange;
   exchange->Start(options.address, std::move(request), options.reuse,
                   options.timeout);
   return exchange;
