Let both readers see the outage in OutagesOfTheStoreStopNoRequests

Cause of its failure, from the log of the failing run: the test ended the outage as soon as one reader had seen it, 1 ms after it began. The other reader read at 24.599 and 24.948 s, saw no outage, and rightly took the removal for a real one; entries lapse only after heartbeats of seconds are missed. The test now waits for both readers, and checks the upstreams of both gateways instead of one.

--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -222,8 +222,9 @@
         PlatformStoreMode::kReset}) {
     standin::SetPlatformStoreMode(*this->store, mode);
     standin::RemovePlatformItem(*this->store, "servers/u1");
+    // An outage between two reads of a reader is none to it; both must see it.
     BOOST_REQUIRE(this->RunUntil([this] {
-      return this->first->store.failing || this->second->store.failing;
+      return this->first->store.failing && this->second->store.failing;
     }));
     BOOST_TEST(this->Ask(*this->first, {.id = "s"}).status == 200U);
     standin::SetPlatformStoreMode(*this->store, PlatformStoreMode::kUp);
@@ -233,9 +234,11 @@
     // The upstream writes its entry again within two seconds.
     this->RunFor(milliseconds(700));
     BOOST_TEST(KnowsUpstreams(*this->first, 2));
+    BOOST_TEST(KnowsUpstreams(*this->second, 2));
     this->WriteEntry(*this->upstreams.at("u1"), "ready");
     this->RunFor(milliseconds(700));
     BOOST_TEST(KnowsUpstreams(*this->first, 2));
+    BOOST_TEST(KnowsUpstreams(*this->second, 2));
     BOOST_TEST(this->Ask(*this->second, {.id = "t"}).status == 200U);
   }
 }
