Put readers and dispatchers on the larger VMs

Cause: members were ranked by rendezvous hash alone, so that VMs of 0.1 core and 10 Mbit/s, 100 of 108, got the dispatcher of 350 upstreams and 1,240 requests a second, and the reading of the store for all. Members now state their capacity (processor or link, whichever binds) and are ranked by weighted rendezvous hash. Equal VMs are ranked as before.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -4,6 +4,7 @@
 
 #include "base/error_func.h"
 #include "fleet.pb.h"
+#include "fleet/view_func.h"
 
 namespace poplarfork::datagram {
 
@@ -41,6 +42,7 @@
   body.set_data_centre(record.member.data_centre.value);
   body.set_changed(record.changed.value);
   body.set_removed(record.removed);
+  body.set_capacity(record.member.capacity);
 }
 
 void PutUpstream(proto::FleetUpstream& body,
@@ -158,6 +160,7 @@
   record.member.front_address = body.front_address();
   record.member.control_address = body.control_address();
   record.member.data_centre = {body.data_centre()};
+  record.member.capacity = fleet::LimitCapacity(body.capacity());
   record.changed = {body.changed()};
   record.removed = body.removed();
   record.learned_at = now;
--- a/src/fleet/member_type.h
+++ b/src/fleet/member_type.h
@@ -8,6 +8,9 @@
 
 namespace poplarfork::fleet {
 
+// Capacity of a daemon that states none, in cores: that of a small VM.
+inline constexpr double kDefaultCapacity = 0.1;
+
 // A daemon of the fleet as the store's member list names it.
 struct Member {
   // Address of its datagram socket.
@@ -17,6 +20,8 @@
   // "IP:port" from which other daemons fetch the configuration.
   std::string control_address;
   base::DataCentreId data_centre;
+  // What its VM can carry, in processor cores.
+  double capacity = kDefaultCapacity;
 };
 
 // A member as one daemon knows it.
--- a/src/fleet/view_func.cc
+++ b/src/fleet/view_func.cc
@@ -1,6 +1,7 @@
 #include "fleet/view_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/hash_func.h"
@@ -34,13 +35,39 @@
   return reported;
 }
 
+// Dispatching and reading the store are indivisible: a VM of a tenth of a core
+// that gets a share of them like others is full before a larger one is half
+// full. The power keeps them on the larger VMs while there are some.
+constexpr double kCapacityPower = 3;
+
+constexpr double kMinCapacity = 0.01;
+constexpr double kMaxCapacity = 64;
+
 struct Ranked {
-  std::uint64_t weight;
-  base::DaemonId id;
+  double rank;
+  const base::DaemonId* id;
 };
 
+// Weighted rendezvous hashing: the member with the highest rank is chosen, a
+// member's chance is in proportion to its weight, and the order of the others
+// does not change when one comes or goes.
+double RankOf(std::string_view key,
+              const base::DaemonId& id,
+              double capacity) {
+  constexpr double kHashes = 18446744073709551616.0;
+  const double unit =
+      (static_cast<double>(base::RendezvousWeight(key, id.value)) + 0.5) /
+      kHashes;
+  return std::pow(capacity, kCapacityPower) / -std::log(unit);
+}
+
 }  // namespace
 
+double LimitCapacity(double capacity) {
+  return capacity > 0 ? std::clamp(capacity, kMinCapacity, kMaxCapacity)
+                      : kDefaultCapacity;
+}
+
 bool IsSameEntry(const UpstreamEntry& a, const UpstreamEntry& b) {
   return a.service == b.service && a.address == b.address &&
          a.slots == b.slots && a.phase == b.phase &&
@@ -137,20 +164,23 @@
                                         std::size_t count,
                                         base::TimePoint now) {
   std::vector<Ranked> ranked;
+  ranked.reserve(view.members.size() + 1);
+  double own_capacity = kDefaultCapacity;
   for (const auto& [id, record] : view.members) {
-    if (id != view.self && IsEligible(view, id, now))
-      ranked.push_back({base::RendezvousWeight(key, id.value), id});
+    if (id == view.self)
+      own_capacity = record.member.capacity;
+    else if (IsEligible(view, id, now))
+      ranked.push_back({RankOf(key, id, record.member.capacity), &id});
   }
-  ranked.push_back({base::RendezvousWeight(key, view.self.value), view.self});
-  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-    return a.weight > b.weight;
-  });
+  ranked.push_back({RankOf(key, view.self, own_capacity), &view.self});
+  const std::size_t taken = std::min(count, ranked.size());
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(taken),
+      ranked.end(),
+      [](const Ranked& a, const Ranked& b) { return a.rank > b.rank; });
   std::vector<base::DaemonId> members;
-  for (Ranked& item : ranked) {
-    if (members.size() == count)
-      break;
-    members.push_back(std::move(item.id));
-  }
+  for (std::size_t i = 0; i < taken; ++i)
+    members.push_back(*ranked[i].id);
   return members;
 }
 
--- a/src/fleet/view_func.h
+++ b/src/fleet/view_func.h
@@ -21,6 +21,10 @@
 // How long a removal is kept so that daemons that were cut off learn of it.
 inline constexpr base::Duration kRemovalMemory = std::chrono::seconds(120);
 
+// Returns a usable capacity for any number: unknown and absurd ones count as
+// that of a small or a very large VM.
+double LimitCapacity(double capacity);
+
 // Tells whether two entries are the same but for what every heartbeat changes.
 bool IsSameEntry(const UpstreamEntry& a, const UpstreamEntry& b);
 
@@ -54,8 +58,9 @@
                 const base::DaemonId& member,
                 base::TimePoint now);
 
-// Returns the eligible members in the order of their rendezvous weight for
-// `key`, at most `count`. It is never empty: the daemon itself is a member.
+// Returns the eligible members in the order of their rendezvous rank for `key`,
+// at most `count`. Members of greater capacity come first more often. It is
+// never empty: the daemon itself is a member.
 std::vector<base::DaemonId> RankMembers(const View& view,
                                         std::string_view key,
                                         std::size_t count,
--- a/src/gateway/member_value_func.cc
+++ b/src/gateway/member_value_func.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error_func.h"
+#include "fleet/view_func.h"
 
 namespace poplarfork::gateway {
 
@@ -24,7 +25,8 @@
   return Json{{"peer_address", member.id.value},
               {"front_address", member.front_address},
               {"control_address", member.control_address},
-              {"data_centre", member.data_centre.value}}
+              {"data_centre", member.data_centre.value},
+              {"capacity", member.capacity}}
       .dump();
 }
 
@@ -39,6 +41,9 @@
   if (!valid)
     return base::MakeError(base::ErrorCode::kMalformed, base::Step::kStoreCall,
                            "member", "an address or data centre is missing");
+  const auto capacity = json.find("capacity");
+  if (capacity != json.end() && capacity->is_number())
+    member.capacity = fleet::LimitCapacity(capacity->get<double>());
   return member;
 }
 
--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -1,5 +1,6 @@
 #include "gateway/registration.h"
 
+#include <algorithm>
 #include <string>
 
 #include "clock/now_func.h"
@@ -23,12 +24,24 @@
 
 void RegisterLater(Gateway& gateway, base::Duration pause);
 
+// Reading the store and dispatching for a whole service take about this much of
+// a link for each core that they take.
+constexpr double kLinkMbpsPerCore = 100;
+
+// What the VM can carry, in cores: the processor or the link, whichever binds.
+double CapacityOf(const Settings& settings) {
+  return fleet::LimitCapacity(
+      std::min(settings.cpu_share * settings.cpu_speed,
+               settings.link_mbps / kLinkMbpsPerCore));
+}
+
 void WriteMember(Gateway& gateway) {
   fleet::Member member;
   member.id = gateway.view.self;
   member.front_address = gateway.settings.front_address;
   member.control_address = gateway.settings.control_address;
   member.data_centre = {gateway.settings.data_centre};
+  member.capacity = CapacityOf(gateway.settings);
   const std::string key =
       std::string(platform::kMemberPrefix) + member.id.value;
   CallStore(
--- a/src/gateway/settings_table.cc
+++ b/src/gateway/settings_table.cc
@@ -24,6 +24,9 @@
 constexpr std::array kDecimals = {
     Decimal{"retry_ratio", 0, 1, 0.2, &Settings::retry_ratio},
     Decimal{"floor_share", 0, 1, 0.7, &Settings::floor_share},
+    Decimal{"cpu_share", 0.001, 1024, 1, &Settings::cpu_share},
+    Decimal{"cpu_speed", 0.001, 1024, 1, &Settings::cpu_speed},
+    Decimal{"link_mbps", 0.001, 10000000, 1000, &Settings::link_mbps},
 };
 
 constexpr std::array kTimes = {
--- a/src/gateway/settings_type.h
+++ b/src/gateway/settings_type.h
@@ -34,6 +34,11 @@
   double retry_ratio = 0;
   std::int64_t retry_allowance = 0;
   double floor_share = 0;
+  // What the VM grants this process: share of a core, speed of the core against
+  // an ordinary one, and its link.
+  double cpu_share = 0;
+  double cpu_speed = 0;
+  double link_mbps = 0;
 };
 
 }  // namespace poplarfork::gateway
