Split services of many upstreams into shards with a dispatcher each

Load answered: hundreds of upstreams with 1,200 requests a second, more messages than the one dispatcher's VM takes if no VM is large. A service of 48 upstreams or more gets one shard for each 24 to 48; a request goes to a shard by its fingerprint and, if that has no room, to one other.

Tests: tests/fleet/shard_test.cc, dispatcher_test ShardsGiveOutTheirOwnUpstreams, request_test OneOtherShardIsAskedWhenTheFirstIsFull.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -94,6 +94,8 @@
   body.set_until_deadline_us(Microseconds(ask.until_deadline));
   body.set_is_retry(ask.is_retry);
   body.set_was_granted(ask.was_granted);
+  body.set_shard(ask.shard);
+  body.set_shards(ask.shards);
   body.set_fingerprint(ask.fingerprint.value);
   body.set_data_centre(ask.data_centre.value);
   for (const base::UpstreamId& id : ask.avoid)
@@ -215,6 +217,8 @@
   ask.until_deadline = ToDuration(body.until_deadline_us());
   ask.is_retry = body.is_retry();
   ask.was_granted = body.was_granted();
+  ask.shard = body.shard();
+  ask.shards = std::max(body.shards(), 1U);
   ask.fingerprint = {body.fingerprint()};
   ask.data_centre = {body.data_centre()};
   for (const std::string& id : body.avoid())
--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -52,16 +52,17 @@
   return base::Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-double FullBudget(const Settings& settings) {
-  return kAllowanceShare * settings.retry_allowance;
+double FullBudget(const Settings& settings, const ServiceState& service) {
+  return kAllowanceShare * settings.retry_allowance * service.share;
 }
 
 void Refill(const Settings& settings,
-            RetryAllowance& retries,
+            ServiceState& service,
             base::TimePoint now) {
+  RetryAllowance& retries = service.retries;
   if (!retries.started) {
     retries.started = true;
-    retries.tokens = FullBudget(settings);
+    retries.tokens = FullBudget(settings, service);
     retries.at = now;
     return;
   }
@@ -69,7 +70,7 @@
   retries.at = now;
   retries.tokens +=
       kRatioShare * settings.retry_ratio * retries.request_rate * seconds;
-  retries.tokens = std::min(retries.tokens, FullBudget(settings));
+  retries.tokens = std::min(retries.tokens, FullBudget(settings, service));
   retries.request_rate *= std::exp(-seconds / kRateSeconds);
 }
 
@@ -126,9 +127,9 @@
                ServiceState& service,
                const WorkClass& work,
                base::TimePoint now) {
-  Refill(settings, service.retries, now);
+  Refill(settings, service, now);
   const double kept =
-      work.repeatable ? kReservedShare * FullBudget(settings) : 0;
+      work.repeatable ? kReservedShare * FullBudget(settings, service) : 0;
   if (service.retries.tokens < 1 + kept)
     return false;
   service.retries.tokens -= 1;
@@ -138,7 +139,7 @@
 void CountFirstSend(const Settings& settings,
                     ServiceState& service,
                     base::TimePoint now) {
-  Refill(settings, service.retries, now);
+  Refill(settings, service, now);
   service.retries.request_rate += 1 / kRateSeconds;
 }
 
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -7,6 +7,8 @@
 #include "dispatch/admission_func.h"
 #include "dispatch/evidence_func.h"
 #include "dispatch/placement_func.h"
+#include "dispatch/shard_state_func.h"
+#include "fleet/shard_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -65,6 +67,10 @@
   return std::max(stall, kMinStall);
 }
 
+fleet::Shard ShardOf(const Ask& ask) {
+  return {ask.work.service, ask.shard, ask.shards};
+}
+
 Refusal Refuse(const ServiceState* service,
                const Ask& ask,
                RefusalReason reason,
@@ -89,6 +95,7 @@
   running.daemon = daemon;
   running.attempt = ask.attempt;
   running.upstream = upstream.entry.id;
+  running.shard = ShardOf(ask);
   running.work = ask.work;
   running.fingerprint = ask.fingerprint;
   running.granted_at = now;
@@ -206,7 +213,7 @@
   for (auto item = dispatcher.running.begin();
        item != dispatcher.running.end();) {
     Running& running = item->second;
-    ServiceState& service = dispatcher.services[running.work.service];
+    ServiceState& service = dispatcher.shards[running.shard];
     if (running.expires_at <= now) {
       EndRunning(service, running);
       item = dispatcher.running.erase(item);
@@ -250,9 +257,8 @@
               base::TimePoint now,
               base::Rng& rng) {
   Actions actions;
-  const auto found = dispatcher.services.find(ask.work.service);
-  if (!dispatcher.ready || found == dispatcher.services.end() ||
-      found->second.upstreams.empty()) {
+  ServiceState* found = FindShard(dispatcher, ShardOf(ask), now);
+  if (!dispatcher.ready || !found || found->upstreams.empty()) {
     const RefusalReason reason = dispatcher.ready ? RefusalReason::kNoUpstream
                                                   : RefusalReason::kNotReady;
     actions.push_back(SendRefusal{daemon, Refuse(nullptr, ask, reason, rng)});
@@ -260,7 +266,7 @@
         std::chrono::milliseconds(500);
     return actions;
   }
-  ServiceState& service = found->second;
+  ServiceState& service = *found;
   service.asked_at = now;
   if (RepeatAnswer(dispatcher, daemon, ask, service, actions))
     return actions;
@@ -306,7 +312,7 @@
     return actions;
   const Running running = found->second;
   dispatcher.running.erase(found);
-  ServiceState& service = dispatcher.services[running.work.service];
+  ServiceState& service = dispatcher.shards[running.shard];
   EndRunning(service, running);
   const auto place = service.upstreams.find(running.upstream);
   if (place == service.upstreams.end())
@@ -330,7 +336,7 @@
 void OnWithdrawal(Dispatcher& dispatcher,
                   const base::DaemonId& daemon,
                   const Withdrawal& withdrawal) {
-  for (auto& [id, service] : dispatcher.services) {
+  for (auto& [shard, service] : dispatcher.shards) {
     std::erase_if(service.waiting, [&](const Waiter& waiter) {
       return waiter.daemon == daemon &&
              waiter.ask.attempt == withdrawal.attempt;
@@ -344,28 +350,24 @@
                    base::Rng& rng) {
   Actions actions;
   const fleet::UpstreamEntry& entry = record.entry;
-  ServiceState& service = dispatcher.services[entry.service];
-  const auto known = service.upstreams.find(entry.id);
-  if (record.removed) {
-    if (known != service.upstreams.end())
-      service.upstreams.erase(known);
-    return actions;
-  }
-  if (known == service.upstreams.end() ||
-      known->second.entry.incarnation != entry.incarnation ||
-      known->second.entry.address != entry.address) {
-    UpstreamState fresh;
-    fresh.entry = entry;
-    fresh.evidence_at = now;
-    if (known != service.upstreams.end()) {
-      fresh.running = known->second.running;
-      fresh.granted_at = known->second.granted_at;
+  if (record.removed)
+    dispatcher.upstreams.erase(entry.id);
+  else
+    dispatcher.upstreams[entry.id] = entry;
+  // An unsharded service is known before the first question, so that the
+  // first request meets no cold start.
+  if (!record.removed)
+    dispatcher.shards.try_emplace({entry.service, 0, 1});
+  for (auto& [shard, service] : dispatcher.shards) {
+    if (shard.service != entry.service || !fleet::BelongsTo(entry.id, shard))
+      continue;
+    if (record.removed) {
+      service.upstreams.erase(entry.id);
+      continue;
     }
-    service.upstreams[entry.id] = std::move(fresh);
-  } else {
-    known->second.entry = entry;
+    TakeEntry(service, entry, now);
+    ServeWaiting(dispatcher, service, now, rng, actions);
   }
-  ServeWaiting(dispatcher, service, now, rng, actions);
   return actions;
 }
 
@@ -375,12 +377,13 @@
                 bool healthy,
                 base::TimePoint now) {
   Actions actions;
-  const auto found = dispatcher.services.find(service);
-  if (found == dispatcher.services.end())
-    return actions;
-  const auto place = found->second.upstreams.find(upstream);
-  if (place != found->second.upstreams.end())
-    CountProbe(place->second, healthy, now, actions);
+  for (auto& [shard, state] : dispatcher.shards) {
+    if (shard.service != service)
+      continue;
+    const auto place = state.upstreams.find(upstream);
+    if (place != state.upstreams.end())
+      CountProbe(place->second, healthy, now, actions);
+  }
   return actions;
 }
 
@@ -388,7 +391,8 @@
   Actions actions;
   ReviewRunning(dispatcher, now, actions);
   ForgetCrashes(dispatcher, now);
-  for (auto& [id, service] : dispatcher.services) {
+  ForgetShards(dispatcher, now);
+  for (auto& [shard, service] : dispatcher.shards) {
     if (!IsActive(service, now))
       continue;
     for (auto& [upstream_id, upstream] : service.upstreams)
@@ -402,7 +406,7 @@
 bool NeedsTick(const Dispatcher& dispatcher, base::TimePoint now) {
   if (!dispatcher.running.empty())
     return true;
-  for (const auto& [id, service] : dispatcher.services) {
+  for (const auto& [shard, service] : dispatcher.shards) {
     if (!service.waiting.empty())
       return true;
     if (!IsActive(service, now))
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -10,6 +10,7 @@
 #include "dispatch/message_type.h"
 #include "dispatch/settings_type.h"
 #include "dispatch/upstream_state_type.h"
+#include "fleet/shard_type.h"
 
 namespace poplarfork::dispatch {
 
@@ -58,7 +59,7 @@
   std::map<base::UpstreamId, base::TimePoint> troubled;
 };
 
-// The dispatcher's knowledge of one service.
+// The dispatcher's knowledge of one service, or of a shard of it.
 struct ServiceState {
   std::map<base::UpstreamId, UpstreamState> upstreams;
   // In the order in which they are served.
@@ -67,6 +68,8 @@
   RetryAllowance retries;
   // When this daemon was last asked for an upstream of the service.
   base::TimePoint asked_at{};
+  // Part of the service's limits that holds for these upstreams.
+  double share = 1;
 };
 
 // Gives the work of services to their upstreams. One daemon of the fleet
@@ -74,7 +77,9 @@
 // that upstreams state keeps them from filling an upstream twice.
 struct Dispatcher {
   Settings settings;
-  std::map<base::ServiceId, ServiceState> services;
+  // All upstreams that are known, for shards that it is asked for later.
+  std::map<base::UpstreamId, fleet::UpstreamEntry> upstreams;
+  std::map<fleet::Shard, ServiceState> shards;
   std::map<AttemptKey, Running> running;
   std::unordered_map<Fingerprint, CrashRecord> crashes;
   std::map<base::DaemonId, DaemonState> daemons;
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -31,6 +31,9 @@
 // A daemon asks the dispatcher of a service for an upstream.
 struct Ask {
   AttemptId attempt;
+  // Part of the service's upstreams that the dispatcher is asked for.
+  std::uint32_t shard = 0;
+  std::uint32_t shards = 1;
   WorkClass work;
   // Time left until the answer is late, and until nobody waits for it.
   base::Duration until_late{};
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -6,6 +6,7 @@
 
 #include "base/time_type.h"
 #include "dispatch/message_type.h"
+#include "fleet/shard_type.h"
 #include "fleet/upstream_entry_type.h"
 
 namespace poplarfork::dispatch {
@@ -15,6 +16,7 @@
   base::DaemonId daemon;
   AttemptId attempt;
   base::UpstreamId upstream;
+  fleet::Shard shard;
   WorkClass work;
   Fingerprint fingerprint;
   base::TimePoint granted_at{};
--- /dev/null
+++ b/src/fleet/shard_func.cc
@@ -0,0 +1,78 @@
+#include "fleet/shard_func.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+#include "base/hash_func.h"
+
+namespace poplarfork::fleet {
+
+namespace {
+
+// A power of two: when the number changes, shards are halved or joined, and
+// half of the upstreams stay with their dispatcher.
+std::uint32_t ShardCount(std::size_t upstreams) {
+  return std::bit_floor(static_cast<std::uint32_t>(
+      std::max<std::size_t>(upstreams / kUpstreamsPerShard, 1)));
+}
+
+bool IsReady(const UpstreamRecord& record, const base::ServiceId& service) {
+  return !record.removed && record.entry.service == service &&
+         record.entry.phase == UpstreamPhase::kReady;
+}
+
+std::uint32_t IndexOf(const base::UpstreamId& upstream, std::uint32_t count) {
+  return static_cast<std::uint32_t>(base::StableHash(upstream.value) % count);
+}
+
+}  // namespace
+
+ShardSlots MakeShards(const View& view, const base::ServiceId& service) {
+  std::size_t ready = 0;
+  for (const auto& [id, record] : view.upstreams)
+    ready += IsReady(record, service) ? 1 : 0;
+  ShardSlots slots(ShardCount(ready));
+  for (const auto& [id, record] : view.upstreams) {
+    if (IsReady(record, service))
+      slots[IndexOf(id, static_cast<std::uint32_t>(slots.size()))] +=
+          record.entry.slots;
+  }
+  return slots;
+}
+
+bool BelongsTo(const base::UpstreamId& upstream, const Shard& shard) {
+  return shard.count <= 1 || IndexOf(upstream, shard.count) == shard.index;
+}
+
+std::uint32_t ChooseShard(const ShardSlots& slots,
+                          std::uint64_t fingerprint,
+                          const std::uint32_t* other_than) {
+  constexpr double kHashes = 18446744073709551616.0;
+  std::uint32_t best = 0;
+  double best_rank = -1;
+  for (std::uint32_t i = 0; i < slots.size(); ++i) {
+    if (other_than && *other_than == i)
+      continue;
+    // Weighted rendezvous hashing: a change of one shard's slots moves few
+    // requests.
+    const std::uint64_t hash =
+        base::RendezvousWeight(std::to_string(fingerprint), std::to_string(i));
+    const double unit = (static_cast<double>(hash) + 0.5) / kHashes;
+    const double rank = slots[i] / -std::log(unit);
+    if (rank > best_rank) {
+      best = i;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+std::string DispatcherKey(const Shard& shard) {
+  std::string key = "dispatch:" + shard.service.value;
+  if (shard.count > 1)
+    key.append(1, ':').append(std::to_string(shard.index));
+  return key;
+}
+
+}  // namespace poplarfork::fleet
--- a/src/fleet/view_func.cc
+++ b/src/fleet/view_func.cc
@@ -51,9 +51,7 @@
 // Weighted rendezvous hashing: the member with the highest rank is chosen, a
 // member's chance is in proportion to its weight, and the order of the others
 // does not change when one comes or goes.
-double RankOf(std::string_view key,
-              const base::DaemonId& id,
-              double capacity) {
+double RankOf(std::string_view key, const base::DaemonId& id, double capacity) {
   constexpr double kHashes = 18446744073709551616.0;
   const double unit =
       (static_cast<double>(base::RendezvousWeight(key, id.value)) + 0.5) /
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -159,6 +159,7 @@
        {"incarnation", merged.entry.incarnation.value},
        {"revision", merged.changed.value},
        {"source", source}});
+  gateway.shard_slots.erase(merged.entry.service);
   if (!merged.entry.service.value.empty())
     Perform(gateway, dispatch::OnUpstream(gateway.dispatcher, merged,
                                           clock::Now(), gateway.rng));
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -14,6 +14,7 @@
 #include "edge/server.h"
 #include "fleet/configuration_type.h"
 #include "fleet/list_batch_type.h"
+#include "fleet/shard_type.h"
 #include "fleet/split_type.h"
 #include "fleet/view_type.h"
 #include "gateway/live_request_type.h"
@@ -69,6 +70,9 @@
   bool fetching_configuration = false;
   fleet::SplitState splits;
 
+  // By service; dropped when an upstream of the service changes.
+  std::map<base::ServiceId, fleet::ShardSlots> shard_slots;
+
   dispatch::Dispatcher dispatcher;
   std::unordered_map<request::RequestNumber, std::unique_ptr<LiveRequest>>
       requests;
--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -30,9 +30,8 @@
 
 // What the VM can carry, in cores: the processor or the link, whichever binds.
 double CapacityOf(const Settings& settings) {
-  return fleet::LimitCapacity(
-      std::min(settings.cpu_share * settings.cpu_speed,
-               settings.link_mbps / kLinkMbpsPerCore));
+  return fleet::LimitCapacity(std::min(settings.cpu_share * settings.cpu_speed,
+                                       settings.link_mbps / kLinkMbpsPerCore));
 }
 
 void WriteMember(Gateway& gateway) {
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -7,6 +7,7 @@
 #include "clock/now_func.h"
 #include "datagram/message_type.h"
 #include "fleet/configuration_func.h"
+#include "fleet/shard_func.h"
 #include "fleet/split_func.h"
 #include "fleet/view_func.h"
 #include "gateway/answer_func.h"
@@ -47,13 +48,22 @@
                                          : Find(gateway, found->second);
 }
 
+// Slots by shard, counted again after a change of the service's upstreams.
+const fleet::ShardSlots& ShardsOf(Gateway& gateway,
+                                  const base::ServiceId& service) {
+  const auto [place, added] = gateway.shard_slots.try_emplace(service);
+  if (added)
+    place->second = fleet::MakeShards(gateway.view, service);
+  return place->second;
+}
+
 request::Context MakeContext(Gateway& gateway, RequestNumber number) {
   request::Context context;
   context.data_centre = {gateway.settings.data_centre};
-  context.dispatcher_of = [&gateway](const base::ServiceId& service,
+  context.dispatcher_of = [&gateway](const fleet::Shard& shard,
                                      const base::DaemonId* silent) {
     const auto ranked = fleet::RankMembers(
-        gateway.view, "dispatch:" + service.value, 2, clock::Now());
+        gateway.view, fleet::DispatcherKey(shard), 2, clock::Now());
     const bool take_next =
         silent && ranked.size() > 1 && ranked.front() == *silent;
     return take_next ? ranked[1] : ranked.front();
@@ -304,6 +314,7 @@
   arrival.work = {fleet::ChooseTarget(gateway.splits, *route, gateway.rng),
                   route->repeatable, route->priority};
   live->service = arrival.work.service.value;
+  arrival.shards = ShardsOf(gateway, arrival.work.service);
   arrival.fingerprint = FingerprintOf(*session, http);
   arrival.late_at = now + route->latency_objective;
   const base::Duration callers_time =
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/shard_func.h"
+
 namespace poplarfork::request {
 
 namespace {
@@ -25,17 +27,26 @@
 constexpr std::uint32_t kMaxNotReady = 3;
 // A second attempt needs at least this much time to be worth its slot.
 constexpr base::Duration kMinRetryTime = std::chrono::milliseconds(60);
+// Shards that are asked after the first one had no room. The second of two
+// choices evens out most of the difference between shards.
+constexpr std::uint32_t kMaxFullShards = 1;
 constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 
 base::Duration Left(base::TimePoint until, base::TimePoint now) {
   return std::max(until - now, base::Duration(0));
 }
 
+std::uint32_t ShardCount(const Request& request) {
+  return static_cast<std::uint32_t>(request.arrival.shards.size());
+}
+
 dispatch::Ask MakeAsk(const Request& request,
                       const Context& context,
                       base::TimePoint now) {
   dispatch::Ask ask;
   ask.attempt = request.asked;
+  ask.shard = request.shard;
+  ask.shards = ShardCount(request);
   ask.work = request.arrival.work;
   ask.until_late = Left(request.arrival.late_at, now);
   ask.until_deadline = Left(request.arrival.deadline, now);
@@ -64,8 +75,9 @@
              Actions& actions) {
   request.phase = request.attempt ? Phase::kRunningAndAsking : Phase::kAsking;
   request.asked = context.next_attempt();
-  request.asked_of =
-      context.dispatcher_of(request.arrival.work.service, silent);
+  request.asked_of = context.dispatcher_of(
+      {request.arrival.work.service, request.shard, ShardCount(request)},
+      silent);
   request.asked_as_retry = is_retry;
   request.unanswered_asks = 0;
   ++request.asks;
@@ -145,6 +157,12 @@
   return Failure::kOverload;
 }
 
+// Tells whether another shard may have room.
+bool IsFull(RefusalReason reason) {
+  return reason == RefusalReason::kOverload ||
+         reason == RefusalReason::kNoUpstream;
+}
+
 bool IsNotSent(AttemptResult result) {
   return result == AttemptResult::kNotConnected ||
          result == AttemptResult::kRefused;
@@ -257,6 +275,8 @@
   Actions actions;
   request.arrival = arrival;
   request.arrived_at = now;
+  request.shard =
+      fleet::ChooseShard(arrival.shards, arrival.fingerprint.value, nullptr);
   AskAnew(request, false, nullptr, context, now, actions);
   return actions;
 }
@@ -331,6 +351,15 @@
     AskAnew(request, request.asked_as_retry, &passed, context, now, actions);
     return actions;
   }
+  if (IsFull(refusal.reason) && request.full_shards < kMaxFullShards &&
+      ShardCount(request) > 1) {
+    ++request.full_shards;
+    const std::uint32_t full = request.shard;
+    request.shard = fleet::ChooseShard(
+        request.arrival.shards, request.arrival.fingerprint.value, &full);
+    AskAnew(request, request.asked_as_retry, nullptr, context, now, actions);
+    return actions;
+  }
   Fail(request, FailureOf(refusal.reason), refusal.retry_after, actions);
   return actions;
 }
--- a/src/request/request_func.h
+++ b/src/request/request_func.h
@@ -11,9 +11,9 @@
 // What a request reads of the daemon's state.
 struct Context {
   base::DataCentreId data_centre;
-  // Returns the daemon that dispatches for a service, other than one that has
-  // just been found silent (null if none was).
-  std::function<base::DaemonId(const base::ServiceId&,
+  // Returns the daemon that dispatches for a shard of a service, other than one
+  // that has just been found silent (null if none was).
+  std::function<base::DaemonId(const fleet::Shard&,
                                const base::DaemonId* silent)>
       dispatcher_of;
   // Returns a new attempt id.
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -7,6 +7,7 @@
 
 #include "base/time_type.h"
 #include "dispatch/message_type.h"
+#include "fleet/shard_type.h"
 
 namespace poplarfork::request {
 
@@ -36,6 +37,8 @@
   base::TimePoint deadline{};
   // Upstreams to which it may be sent.
   std::uint32_t max_attempts = 1;
+  // Slots of the service's upstreams by shard; decide whom it asks.
+  fleet::ShardSlots shards{1};
 };
 
 // One attempt at one upstream.
@@ -65,6 +68,9 @@
   base::TimePoint ask_again_at{};
   std::uint32_t unanswered_asks = 0;
   std::uint32_t refusals_not_ready = 0;
+  // Index of the shard that is asked, and shards that had no room.
+  std::uint32_t shard = 0;
+  std::uint32_t full_shards = 0;
 
   std::optional<Attempt> attempt;
   std::uint32_t asks = 0;
--- a/src/standin/platform_store_func.h
+++ b/src/standin/platform_store_func.h
@@ -20,8 +20,8 @@
                      std::uint64_t lease = 0);
 void RemovePlatformItem(PlatformStore& store, const std::string& key);
 
-// Changes how calls are treated. When the store goes away, watches that wait are
-// cut, or never answered if it falls silent.
+// Changes how calls are treated. When the store goes away, watches that wait
+// are cut, or never answered if it falls silent.
 void SetPlatformStoreMode(PlatformStore& store, PlatformStoreMode mode);
 
 // Drops the history and cuts the watches.
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -104,7 +106,7 @@
   }
 
   UpstreamState& Upstream(const std::string& id) {
-    return this->dispatcher.services.at(kService).upstreams.at({id});
+    return this->dispatcher.shards.at({kService}).upstreams.at({id});
   }
 
   Dispatcher dispatcher;
@@ -123,7 +125,7 @@
   for (int i = 0; i < 15; ++i)
     BOOST_TEST(fixture.AskFor("d" + std::to_string(i), fixture.MakeAsk(false)));
   for (const auto& [id, upstream] :
-       fixture.dispatcher.services.at(kService).upstreams)
+       fixture.dispatcher.shards.at({kService}).upstreams)
     BOOST_TEST(upstream.running == 3U);
   BOOST_TEST(!fixture.AskFor("d16", fixture.MakeAsk(false)));
 }
@@ -140,7 +142,7 @@
   const Ask waiting = fixture.MakeAsk(false);
   fixture.AskFor("d", waiting);
   fixture.AskFor("d", waiting);
-  BOOST_TEST(fixture.dispatcher.services.at(kService).waiting.size() == 1U);
+  BOOST_TEST(fixture.dispatcher.shards.at({kService}).waiting.size() == 1U);
 }
 
 // Guards against a slot that stays taken because a report was lost.
@@ -212,7 +214,7 @@
 BOOST_AUTO_TEST_CASE(RefusedRequestsReturnSpreadOverTime) {
   Fixture fixture(1, 1);
   fixture.Warm(10);
-  ServiceState& service = fixture.dispatcher.services.at(kService);
+  ServiceState& service = fixture.dispatcher.shards.at({kService});
   for (int i = 0; i < 4; ++i)
     fixture.AskFor("d", fixture.MakeAsk(false));
   const base::Duration early = RetryAfter(service, 0);
@@ -272,7 +274,7 @@
     fixture.End("sound", copy, Outcome::kServed);
   }
   for (const auto& [id, upstream] :
-       fixture.dispatcher.services.at(kService).upstreams)
+       fixture.dispatcher.shards.at({kService}).upstreams)
     BOOST_TEST((upstream.standing == Standing::kTrusted));
 }
 
@@ -328,7 +330,7 @@
   Fixture fixture(4, 3);
   fixture.Warm(20);
   for (auto& [id, upstream] :
-       fixture.dispatcher.services.at(kService).upstreams) {
+       fixture.dispatcher.shards.at({kService}).upstreams) {
     upstream.standing = Standing::kSuspended;
     upstream.suspended_until = fixture.now + seconds(60);
   }
@@ -389,6 +391,7 @@
     probe.daemon = {"e"};
     probe.attempt = refused.attempt;
     probe.upstream = copy.upstream;
+    probe.shard = {kService, 0, 1};
     probe.work = ask.work;
     probe.expires_at = fixture.now + seconds(5);
     fixture.dispatcher.running[{{"e"}, refused.attempt}] = probe;
@@ -435,4 +438,54 @@
   BOOST_TEST(fixture.AskFor("d", fixture.MakeAsk(true)));
 }
 
+// Guards against two dispatchers of one service that give out the same
+// upstream. Replays 8 shards that are asked for more than they have.
+BOOST_AUTO_TEST_CASE(ShardsGiveOutTheirOwnUpstreams) {
+  Fixture fixture(200, 2);
+  std::map<std::string, std::set<std::uint32_t>> shards_of;
+  std::size_t grants = 0;
+  for (std::uint32_t i = 0; i < 800; ++i) {
+    Ask ask = fixture.MakeAsk(true);
+    ask.shard = i % 8;
+    ask.shards = 8;
+    if (const Grant* grant = fixture.AskFor("d", ask)) {
+      shards_of[grant->upstream.value].insert(ask.shard);
+      ++grants;
+    }
+  }
+  BOOST_TEST(grants == 400U);
+  BOOST_TEST(shards_of.size() == 200U);
+  for (const auto& [upstream, shards] : shards_of)
+    BOOST_TEST(shards.size() == 1U);
+}
+
+// Guards against a shard that misses upstreams which come and go after it was
+// first asked for, and against questions for shards that cannot be.
+BOOST_AUTO_TEST_CASE(ShardsFollowTheUpstreams) {
+  Fixture fixture(4, 1);
+  Ask ask = fixture.MakeAsk(true);
+  ask.shards = 2;
+  fixture.AskFor("d", ask);
+  std::size_t known = 0;
+  for (const auto& [shard, state] : fixture.dispatcher.shards)
+    known += shard.count == 2 ? state.upstreams.size() : 0;
+  for (int i = 4; i < 40; ++i)
+    OnUpstream(fixture.dispatcher, RecordOf("u" + std::to_string(i), 1),
+               fixture.now, fixture.rng);
+  const ServiceState& shard = fixture.dispatcher.shards.at({kService, 0, 2});
+  BOOST_TEST(shard.upstreams.size() > known + 10);
+  BOOST_TEST(shard.upstreams.size() < 40U);
+  for (int i = 0; i < 40; ++i) {
+    fleet::UpstreamRecord record = RecordOf("u" + std::to_string(i), 1);
+    record.removed = true;
+    OnUpstream(fixture.dispatcher, record, fixture.now, fixture.rng);
+  }
+  BOOST_TEST(shard.upstreams.empty());
+  Ask impossible = fixture.MakeAsk(true);
+  impossible.shard = 5;
+  impossible.shards = 2;
+  fixture.AskFor("d", impossible);
+  BOOST_TEST((fixture.LastRefusal()->reason == RefusalReason::kNoUpstream));
+}
+
 }  // namespace poplarfork::dispatch
--- /dev/null
+++ b/tests/fleet/shard_test.cc
@@ -0,0 +1,118 @@
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "base/hash_func.h"
+#include "fleet/shard_func.h"
+#include "fleet/view_func.h"
+
+namespace poplarfork::fleet {
+
+namespace {
+
+constexpr base::TimePoint kNow{std::chrono::seconds(100)};
+const base::ServiceId kService{"orders"};
+
+View ViewWith(std::size_t upstreams) {
+  View view;
+  view.self = {"m0"};
+  for (std::size_t i = 0; i < upstreams; ++i) {
+    UpstreamRecord record;
+    record.entry.id = {"u" + std::to_string(i)};
+    record.entry.service = kService;
+    record.entry.slots = 6;
+    record.changed = {i + 1};
+    MergeUpstream(view, record);
+  }
+  return view;
+}
+
+MemberRecord MemberOf(const std::string& id, double capacity) {
+  MemberRecord record;
+  record.member.id = {id};
+  record.member.capacity = capacity;
+  record.changed = {1};
+  return record;
+}
+
+}  // namespace
+
+// Guards against a small service whose slots are split without need: a part of
+// a few upstreams is full while another part is idle.
+BOOST_AUTO_TEST_CASE(SmallServicesHaveOneShard) {
+  BOOST_TEST(MakeShards(ViewWith(0), kService).size() == 1U);
+  BOOST_TEST(MakeShards(ViewWith(31), kService).size() == 1U);
+  BOOST_TEST(MakeShards(ViewWith(47), kService).size() == 1U);
+  BOOST_TEST(MakeShards(ViewWith(48), kService).size() == 2U);
+  BOOST_TEST(MakeShards(ViewWith(351), kService).size() == 8U);
+}
+
+// Guards against upstreams that belong to no shard or to two.
+BOOST_AUTO_TEST_CASE(EachUpstreamBelongsToOneShard) {
+  const View view = ViewWith(351);
+  const ShardSlots slots = MakeShards(view, kService);
+  const auto count = static_cast<std::uint32_t>(slots.size());
+  std::uint32_t all = 0;
+  for (const std::uint32_t shard_slots : slots)
+    all += shard_slots;
+  BOOST_TEST(all == 351U * 6U);
+  for (const auto& [id, record] : view.upstreams) {
+    std::uint32_t homes = 0;
+    for (std::uint32_t i = 0; i < count; ++i)
+      homes += BelongsTo(id, {kService, i, count}) ? 1 : 0;
+    BOOST_TEST(homes == 1U);
+  }
+}
+
+// Guards against shards that get more requests than their share of the slots,
+// and against a request that meets another dispatcher each time it comes.
+BOOST_AUTO_TEST_CASE(RequestsFollowTheSlots) {
+  const ShardSlots slots{300, 100, 0, 200};
+  std::vector<std::uint32_t> chosen(slots.size());
+  for (std::uint64_t i = 0; i < 6000; ++i) {
+    const std::uint64_t fingerprint = base::StableHash(std::to_string(i));
+    const std::uint32_t shard = ChooseShard(slots, fingerprint, nullptr);
+    ++chosen[shard];
+    BOOST_TEST(ChooseShard(slots, fingerprint, nullptr) == shard);
+    BOOST_TEST(ChooseShard(slots, fingerprint, &shard) != shard);
+  }
+  BOOST_TEST(chosen[2] == 0U);
+  for (std::size_t i = 0; i < slots.size(); ++i)
+    BOOST_TEST(std::abs(static_cast<int>(chosen[i]) -
+                        static_cast<int>(slots[i]) * 10) < 200);
+  const std::uint32_t only = 0;
+  BOOST_TEST(ChooseShard({5}, 1, &only) == 0U);
+}
+
+// Guards against a small VM that reads or dispatches for all while larger ones
+// could. Replays the uneven VMs of 8 halves and 100 tenths of a core.
+BOOST_AUTO_TEST_CASE(LargerVmsComeFirst) {
+  View view;
+  view.self = {"small0"};
+  for (int i = 0; i < 8; ++i)
+    MergeMember(view, MemberOf("large" + std::to_string(i), 0.5));
+  for (int i = 0; i < 100; ++i)
+    MergeMember(view, MemberOf("small" + std::to_string(i), 0.1));
+  int large = 0;
+  for (int key = 0; key < 1000; ++key) {
+    const auto first = RankMembers(view, std::to_string(key), 1, kNow);
+    large += first.front().value.starts_with("large") ? 1 : 0;
+  }
+  // By their capacity cubed, 1 of 1.1.
+  BOOST_TEST(large > 850);
+  BOOST_TEST(large < 1000);
+}
+
+// Guards against capacities of other daemons that are no numbers to rank by.
+BOOST_AUTO_TEST_CASE(AnyCapacityCanBeRanked) {
+  BOOST_TEST(LimitCapacity(0) == kDefaultCapacity);
+  BOOST_TEST(LimitCapacity(-1) == kDefaultCapacity);
+  BOOST_TEST(LimitCapacity(std::nan("")) == kDefaultCapacity);
+  BOOST_TEST(LimitCapacity(1e300) < 1e3);
+  BOOST_TEST(LimitCapacity(1e-300) > 1e-3);
+}
+
+}  // namespace poplarfork::fleet
--- a/tests/request/request_test.cc
+++ b/tests/request/request_test.cc
@@ -18,7 +18,7 @@
 struct Fixture {
   explicit Fixture(bool repeatable, std::uint32_t max_attempts = 2) {
     this->context.data_centre = {"a"};
-    this->context.dispatcher_of = [this](const base::ServiceId&,
+    this->context.dispatcher_of = [this](const fleet::Shard&,
                                          const base::DaemonId* silent) {
       return silent && *silent == this->dispatcher ? this->next
                                                    : this->dispatcher;
@@ -236,4 +236,21 @@
   BOOST_TEST(waiting.Find<AnswerFailure>()->not_run);
 }
 
+// Guards against a refusal while another part of the service has room, and
+// against a request that goes round all parts of a full service.
+BOOST_AUTO_TEST_CASE(OneOtherShardIsAskedWhenTheFirstIsFull) {
+  Fixture fixture(false);
+  fixture.request.arrival.shards = {10, 10, 10, 10};
+  const std::uint32_t first = fixture.request.shard;
+  fixture.Refuse(dispatch::RefusalReason::kOverload);
+  const auto* ask = fixture.Find<AskDispatcher>();
+  BOOST_REQUIRE(ask);
+  BOOST_TEST(ask->ask.shard != first);
+  BOOST_TEST(ask->ask.shards == 4U);
+  fixture.Refuse(dispatch::RefusalReason::kOverload);
+  const auto* failure = fixture.Find<AnswerFailure>();
+  BOOST_REQUIRE(failure);
+  BOOST_TEST(failure->not_run);
+}
+
 }  // namespace poplarfork::request
