Let a reader that has lost the store learn from others

Each took itself for a reader, so it dropped the batches that others sent and asked for the same first 40 of 49 changes again and again; it dispatched to an upstream 7.6 s after that began to leave (DRAIN 2). A reader whose reads are out of date now passes over itself and takes batches.

Ruled out: lost datagrams (the first batch arrived at 5.02 s), shards. Test: ReadersWithoutTheStoreLearnFromOthers.

--- a/src/gateway/news_driver.cc
+++ b/src/gateway/news_driver.cc
@@ -157,7 +157,8 @@
     return;
   const fleet::ListBatch whole = std::move(batch);
   gateway.assemblies.erase(from);
-  if (gateway.store.reading)
+  // A reader knows more than others, unless it has lost the store.
+  if (gateway.store.reading && !IsStoreStale(gateway, now))
     return;
   TakeBatch(gateway, from, whole, news.is_full, now);
 }
@@ -226,7 +227,7 @@
 }
 
 bool IsCatchingUp(const Gateway& gateway) {
-  return gateway.list.more && !gateway.store.reading;
+  return gateway.list.more;
 }
 
 bool GetsListFrom(const Gateway& gateway,
--- a/src/gateway/peer_driver.cc
+++ b/src/gateway/peer_driver.cc
@@ -195,6 +195,10 @@
 
 void SendHellos(Gateway& gateway) {
   const base::TimePoint now = clock::Now();
+  // A reader that has lost the store passes over itself and learns from others.
+  const auto self = gateway.view.members.find(gateway.view.self);
+  if (self != gateway.view.members.end())
+    self->second.store_stale = IsStoreStale(gateway, now);
   const std::vector<base::DaemonId> readers =
       fleet::StoreReaders(gateway.view, now);
   CheckReaders(gateway, readers, now);
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -267,8 +267,9 @@
         as_of, true};
     TakeItem(gateway, removal, changes);
   }
-  gateway.view.as_of = as_of;
+  gateway.view.as_of = std::max(gateway.view.as_of, as_of);
   gateway.view.complete_since = as_of;
+  gateway.list = {};
   gateway.dispatcher.ready = true;
   Announce(gateway, changes);
 }
@@ -313,6 +314,7 @@
     TakeItem(gateway, item, changes);
   RemoveHeld(gateway, changes);
   gateway.view.as_of = std::max(gateway.view.as_of, changed.value().as_of);
+  gateway.list = {};
   Announce(gateway, changes);
   ReadLater(gateway,
             kReadInterval - (clock::Now() - gateway.store.read_started_at));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "clock/now_func.h"
 #include "fleet/view_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/shutdown.h"
@@ -243,6 +244,22 @@
   }
 }
 
+// Guards against a reader that has lost the store and, with more changes than
+// one batch holds, is sent the same first batch again and again.
+BOOST_FIXTURE_TEST_CASE(ReadersWithoutTheStoreLearnFromOthers, SmallFleet) {
+  constexpr int kAdded = 60;
+  const std::string closed_port = "127.0.0.1:1";
+  for (Gateway* gateway : {this->first, this->second}) {
+    BOOST_REQUIRE(IsReader(*gateway, clock::Now()));
+  }
+  this->first->settings.store_address = closed_port;
+  BOOST_REQUIRE(this->RunUntil([this] { return this->first->store.failing; }));
+  for (int i = 0; i < kAdded; ++i)
+    this->AddUpstream("added" + std::to_string(i));
+  BOOST_TEST(this->RunUntil(
+      [this] { return KnowsUpstreams(*this->first, kAdded + 2); }));
+}
+
 // Guards against upstreams that lapsed during an outage and stay for ever.
 BOOST_FIXTURE_TEST_CASE(EntriesThatDoNotComeBackAreGone, SmallFleet) {
   standin::SetPlatformStoreMode(*this->store, PlatformStoreMode::kBusy);
