--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -393,6 +393,7 @@
   Log(gateway, "member_known",
       {{"member", record.member.id.value},
        {"data_centre", record.member.data_centre.value},
+       {"capacity", record.member.capacity},
        {"removed", record.removed},
        {"revision", record.changed.value},
        {"source", source}});
