Keep removals that are held back within what others still ask for

Cause: EntriesThatDoNotComeBackAreGone failed under AddressSanitizer. After an outage one reader held the removal of an upstream back and told the other, still without the store, that all changes up to that removal's revision were known; the other took that mark over, read on from there and never saw the removal. Before the reader without the store took batches, gateways that read nothing could miss it in the same way when the announcement's datagram was lost.

The mark that is told stays below held removals, and a removal that is made at last gets the revision of the present read.

--- a/src/gateway/news_driver.cc
+++ b/src/gateway/news_driver.cc
@@ -89,6 +89,18 @@
     TakeUpstreamRecord(gateway, record, "peer");
 }
 
+// The revision up to which all changes are known, removals included that are
+// held back after an outage. Whoever took a later one for complete would never
+// ask for them.
+fleet::StoreRevision KnownTo(const Gateway& gateway,
+                             fleet::StoreRevision as_of) {
+  for (const auto& [id, removal] : gateway.store.held) {
+    if (removal.revision.value > 0)
+      as_of = std::min(as_of, {removal.revision.value - 1});
+  }
+  return as_of;
+}
+
 // Removes what the whole list did not name.
 void EndList(Gateway& gateway,
              fleet::StoreRevision as_of,
@@ -198,7 +210,7 @@
   news.is_full = hello.as_of < gateway.view.complete_since;
   const fleet::ListBatch batch = fleet::NextBatch(
       gateway.view, news.is_full ? hello.listed_to : hello.as_of);
-  news.as_of = batch.as_of;
+  news.as_of = batch.more ? batch.as_of : KnownTo(gateway, batch.as_of);
   news.more = batch.more;
   SendNews(gateway, to, news, batch);
 }
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -172,7 +172,10 @@
 }
 
 // Removes upstreams whose entries have not come back after an outage.
-void RemoveHeld(Gateway& gateway, Changes& changes) {
+// They get the revision of the present read, which others do not know yet.
+void RemoveHeld(Gateway& gateway,
+                fleet::StoreRevision as_of,
+                Changes& changes) {
   const base::TimePoint now = clock::Now();
   for (auto item = gateway.store.held.begin();
        item != gateway.store.held.end();) {
@@ -180,7 +183,7 @@
       ++item;
       continue;
     }
-    RemoveUpstream(gateway, item->first, item->second.revision,
+    RemoveUpstream(gateway, item->first, std::max(item->second.revision, as_of),
                    "missing after the store's return", changes);
     item = gateway.store.held.erase(item);
   }
@@ -312,7 +315,7 @@
   Changes changes;
   for (const StoreItem& item : changed.value().items)
     TakeItem(gateway, item, changes);
-  RemoveHeld(gateway, changes);
+  RemoveHeld(gateway, changed.value().as_of, changes);
   gateway.view.as_of = std::max(gateway.view.as_of, changed.value().as_of);
   gateway.list = {};
   Announce(gateway, changes);
