Let a trial forget what was unanswered before the suspension

Cause: an upstream that hung kept its count of requests granted since its last answer through suspension and probe.

Test: TrialsForgetWhatWasUnansweredBefore, failed first.

--- a/src/dispatch/evidence_func.cc
+++ b/src/dispatch/evidence_func.cc
@@ -358,6 +358,7 @@
   upstream.trial_successes = 0;
   // Old evidence led to the suspension; the trial looks at new answers.
   upstream.served = 0;
+  upstream.granted_since_answer = 0;
   upstream.failed = 0;
   upstream.slowness = std::min(upstream.slowness, 2.0);
   Log(upstream, "trial", healthy ? "probe succeeded" : "probe ignored", now,
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -488,4 +488,21 @@
   BOOST_TEST((fixture.LastRefusal()->reason == RefusalReason::kNoUpstream));
 }
 
+// Guards against an upstream that has recovered and gets no trial while others
+// have room, because requests from before its suspension are unanswered.
+BOOST_AUTO_TEST_CASE(TrialsForgetWhatWasUnansweredBefore) {
+  Fixture fixture(6, 6);
+  fixture.Warm(60);
+  UpstreamState& hung =
+      fixture.dispatcher.shards.at({kService}).upstreams.at({"u0"});
+  hung.standing = Standing::kSuspended;
+  hung.suspended_until = fixture.now;
+  hung.granted_since_answer = 6;
+  OnTick(fixture.dispatcher, fixture.now, fixture.rng);
+  OnProbe(fixture.dispatcher, kService, {"u0"}, true, fixture.now);
+  const Grant* grant = fixture.AskFor("d", fixture.MakeAsk(true));
+  BOOST_REQUIRE(grant);
+  BOOST_TEST(grant->upstream.value == "u0");
+}
+
 }  // namespace poplarfork::dispatch
