--- a/src/base/hash_func.cc
+++ b/src/base/hash_func.cc
@@ -1,5 +1,7 @@
 #include "base/hash_func.h"
 
+#include <cmath>
+
 #include <xxhash.h>
 
 namespace poplarfork::base {
@@ -13,4 +15,16 @@
   return XXH3_64bits_withSeed(member.data(), member.size(), seed);
 }
 
+double RendezvousRank(std::string_view key,
+                      std::string_view member,
+                      double weight) {
+  // As many bits as a double holds, so that the number stays below 1.
+  constexpr int kBits = 53;
+  const double unit =
+      (static_cast<double>(RendezvousWeight(key, member) >> (64 - kBits)) +
+       0.5) /
+      static_cast<double>(1ULL << kBits);
+  return weight / -std::log(unit);
+}
+
 }  // namespace poplarfork::base
--- a/src/base/hash_func.h
+++ b/src/base/hash_func.h
@@ -13,4 +13,12 @@
 // highest weights are chosen.
 std::uint64_t RendezvousWeight(std::string_view key, std::string_view member);
 
+// Returns the rank of `member` for `key` in weighted rendezvous hashing: the
+// member with the highest rank is chosen, its chance is in proportion to its
+// weight, and the order of the others stays when one comes or goes. `weight` is
+// 0 or more.
+double RendezvousRank(std::string_view key,
+                      std::string_view member,
+                      double weight);
+
 }  // namespace poplarfork::base
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -34,6 +34,14 @@
 // service and leaves the probing to the one that does.
 constexpr base::Duration kActiveTime = std::chrono::seconds(3);
 
+// A waiting request is given up when not even a short run, of this share of the
+// usual duration, would end before its deadline.
+constexpr double kShortRunShare = 0.7;
+
+// Retry-After while the service has no upstream, or none is known yet:
+// upstreams that start write their entries within about this time.
+constexpr base::Duration kNoUpstreamRetryAfter = std::chrono::milliseconds(500);
+
 // Retry-After of requests that are refused for good.
 constexpr base::Duration kLongRetryAfter = std::chrono::seconds(30);
 
@@ -182,7 +190,12 @@
   for (auto item = dispatcher.running.begin();
        item != dispatcher.running.end();) {
     Running& running = item->second;
-    ServiceState& service = dispatcher.shards[running.shard];
+    const auto shard = dispatcher.shards.find(running.shard);
+    if (shard == dispatcher.shards.end()) {
+      item = dispatcher.running.erase(item);
+      continue;
+    }
+    ServiceState& service = shard->second;
     if (running.expires_at <= now) {
       EndRunning(service, running);
       item = dispatcher.running.erase(item);
@@ -209,7 +222,7 @@
   std::erase_if(service.waiting, [&](const Waiter& waiter) {
     const base::Duration run =
         UsualDuration(service, waiter.ask.work, base::Duration(0));
-    if (now + Scale(run, 0.7) < waiter.deadline)
+    if (now + Scale(run, kShortRunShare) < waiter.deadline)
       return false;
     actions.push_back(SendRefusal{
         waiter.daemon,
@@ -232,7 +245,7 @@
                                                   : RefusalReason::kNotReady;
     actions.push_back(SendRefusal{daemon, Refuse(nullptr, ask, reason, rng)});
     std::get<SendRefusal>(actions.back()).refusal.retry_after =
-        std::chrono::milliseconds(500);
+        kNoUpstreamRetryAfter;
     return actions;
   }
   ServiceState& service = *found;
@@ -281,7 +294,10 @@
     return actions;
   const Running running = found->second;
   dispatcher.running.erase(found);
-  ServiceState& service = dispatcher.shards[running.shard];
+  const auto shard = dispatcher.shards.find(running.shard);
+  if (shard == dispatcher.shards.end())
+    return actions;
+  ServiceState& service = shard->second;
   EndRunning(service, running);
   const auto place = service.upstreams.find(running.upstream);
   if (place == service.upstreams.end())
--- a/src/fleet/shard_func.cc
+++ b/src/fleet/shard_func.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <cmath>
 
 #include "base/hash_func.h"
 
@@ -48,18 +47,16 @@
 std::uint32_t ChooseShard(const ShardSlots& slots,
                           std::uint64_t fingerprint,
                           const std::uint32_t* other_than) {
-  constexpr double kHashes = 18446744073709551616.0;
+  if (slots.size() <= 1)
+    return 0;
+  const std::string key = std::to_string(fingerprint);
   std::uint32_t best = 0;
   double best_rank = -1;
   for (std::uint32_t i = 0; i < slots.size(); ++i) {
     if (other_than && *other_than == i)
       continue;
-    // Weighted rendezvous hashing: a change of one shard's slots moves few
-    // requests.
-    const std::uint64_t hash =
-        base::RendezvousWeight(std::to_string(fingerprint), std::to_string(i));
-    const double unit = (static_cast<double>(hash) + 0.5) / kHashes;
-    const double rank = slots[i] / -std::log(unit);
+    // A change of one shard's slots moves few requests.
+    const double rank = base::RendezvousRank(key, std::to_string(i), slots[i]);
     if (rank > best_rank) {
       best = i;
       best_rank = rank;
--- a/src/fleet/view_func.cc
+++ b/src/fleet/view_func.cc
@@ -40,6 +40,8 @@
 // full. The power keeps them on the larger VMs while there are some.
 constexpr double kCapacityPower = 3;
 
+// Limits of a stated capacity, in cores, that keep one daemon from ranking
+// first always or never.
 constexpr double kMinCapacity = 0.01;
 constexpr double kMaxCapacity = 64;
 
@@ -48,15 +50,9 @@
   const base::DaemonId* id;
 };
 
-// Weighted rendezvous hashing: the member with the highest rank is chosen, a
-// member's chance is in proportion to its weight, and the order of the others
-// does not change when one comes or goes.
 double RankOf(std::string_view key, const base::DaemonId& id, double capacity) {
-  constexpr double kHashes = 18446744073709551616.0;
-  const double unit =
-      (static_cast<double>(base::RendezvousWeight(key, id.value)) + 0.5) /
-      kHashes;
-  return std::pow(capacity, kCapacityPower) / -std::log(unit);
+  return base::RendezvousRank(key, id.value,
+                              std::pow(capacity, kCapacityPower));
 }
 
 }  // namespace
--- a/tests/dispatch/shard_test.cc
+++ b/tests/dispatch/shard_test.cc
@@ -57,4 +57,21 @@
   BOOST_TEST((fixture.LastRefusal()->reason == RefusalReason::kNoUpstream));
 }
 
+// Guards against a report or a review of an attempt whose shard was forgotten
+// since: an empty shard in its place would refuse all requests.
+BOOST_AUTO_TEST_CASE(ForgottenShardsAreMadeAnew) {
+  Fixture fixture(96, 1);
+  Ask ask = fixture.MakeAsk(false);
+  ask.shards = 4;
+  const Grant* grant = fixture.AskFor("d", ask);
+  BOOST_REQUIRE(grant);
+  const Grant copy = *grant;
+  fixture.dispatcher.shards.erase({kService, 0, 4});
+  fixture.Advance(milliseconds(100));
+  fixture.End("d", copy, Outcome::kServed);
+  Ask again = fixture.MakeAsk(false);
+  again.shards = 4;
+  BOOST_TEST(fixture.AskFor("d", again));
+}
+
 }  // namespace poplarfork::dispatch
