Let a trial not wait for what hangs since before it

Up to 5 orders hung there since before the suspension; they filled the one slot of a trial until their deadlines, and their silence and stall cost outweighed the advantage of a trial.

Requests that hang no longer count against the slot and the cost of a trial; they still take the upstream's slots. Ruled out: the upstreams in scale_in, which are draining and count as leaving.

Test: TrialsDoNotWaitForWhatHangs, failed first.

--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -83,21 +83,33 @@
   return std::clamp(durations - kSilenceAllowed, 0.0, kSilenceLimit);
 }
 
+// Requests that hang at an upstream on trial. They take slots, but a trial
+// finds out whether they still speak against the upstream, so it does not wait
+// for their deadlines.
+std::uint32_t HangingBeforeTrial(const UpstreamState& upstream) {
+  return upstream.standing == Standing::kTrial
+             ? std::min(upstream.stalled, upstream.running)
+             : 0;
+}
+
 double Cost(const UpstreamState& upstream,
             base::Duration usual,
             const Ask& ask,
             base::TimePoint now,
             base::Rng& rng) {
-  const std::uint32_t used = upstream.running + upstream.foreign;
+  const std::uint32_t used =
+      upstream.running - HangingBeforeTrial(upstream) + upstream.foreign;
   double cost = (used + 1.0) / upstream.entry.slots *
                 std::clamp(upstream.slowness, 0.5, 4.0);
   const bool repeatable = ask.work.repeatable;
   cost += FailureShare(upstream, now) *
           (repeatable ? kFailureCost : kFailureCostOnce);
   cost += kShedCost * ShedShare(upstream, now);
-  if (upstream.stalled > 0)
+  const bool is_trial = upstream.standing == Standing::kTrial;
+  if (upstream.stalled > 0 && !is_trial)
     cost += kStallCost;
-  cost += kSilenceCost * Silence(upstream, usual, now);
+  if (!is_trial)
+    cost += kSilenceCost * Silence(upstream, usual, now);
   if (upstream.granted_since_answer > kUnansweredAllowed)
     cost += kUnansweredCost *
             std::min(upstream.granted_since_answer - kUnansweredAllowed,
@@ -110,7 +122,7 @@
     cost += kColdCost;
   if (upstream.entry.data_centre != ask.data_centre)
     cost += kOtherDataCentreCost;
-  if (upstream.standing == Standing::kTrial) {
+  if (is_trial) {
     const bool patient = now - upstream.trial_since < kTrialPatience;
     cost += repeatable ? kTrialCost : patient ? kTrialCostOnce : 0;
   }
@@ -128,7 +140,8 @@
 }
 
 bool HasRoom(const UpstreamState& upstream, base::TimePoint now) {
-  return upstream.running < UsableSlots(upstream) &&
+  return upstream.running - HangingBeforeTrial(upstream) <
+             UsableSlots(upstream) &&
          FreeSlots(upstream, now) > 0;
 }
 
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -346,4 +346,26 @@
   BOOST_TEST(grant->upstream.value == "u0");
 }
 
+// Guards against an upstream that is not tried for seconds, because orders that
+// hang there since before its suspension wait for their deadline.
+BOOST_AUTO_TEST_CASE(TrialsDoNotWaitForWhatHangs) {
+  Fixture fixture(6, 6);
+  fixture.Warm(60);
+  UpstreamState& hung = fixture.Upstream("u0");
+  hung.standing = Standing::kSuspended;
+  hung.suspended_until = fixture.now;
+  hung.running = 4;
+  hung.stalled = 4;
+  hung.granted_at.assign(4, fixture.now - seconds(1));
+  OnTick(fixture.dispatcher, fixture.now, fixture.rng);
+  OnProbe(fixture.dispatcher, kService, {"u0"}, true, fixture.now);
+  const Grant* grant = fixture.AskFor("d", fixture.MakeAsk(true));
+  BOOST_REQUIRE(grant);
+  BOOST_TEST(grant->upstream.value == "u0");
+  // One request at a time.
+  grant = fixture.AskFor("d", fixture.MakeAsk(true));
+  BOOST_REQUIRE(grant);
+  BOOST_TEST(grant->upstream.value != "u0");
+}
+
 }  // namespace poplarfork::dispatch
