Cover every reachable upstream while many requests fail

Suspension, the failed probe and the wait for a repeatable trial request add up to more than the 2 s after which an upstream counts as sound again. Besides, PlacementCost() counted the load that an upstream had last reported without regard to its age: an upstream that had once reported a queue of 14 cost 5 and was never chosen again.

Change: coverage_func. Each upstream that no request has reached for 1 s (1.4 s for work that runs once; 3 s while few requests fail) goes before all other placement, whatever its status; an unreachable one pauses for 400 ms. A coverage request that succeeds begins the trial.

--- /dev/null
+++ b/src/dispatch/coverage_func.cc
@@ -0,0 +1,117 @@
+#include "dispatch/coverage_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "dispatch/placement_func.h"
+
+namespace poplarfork::dispatch {
+
+namespace {
+
+// The deployment's floor is judged over windows of two seconds. The intervals
+// leave time to find a request for each upstream that is due.
+constexpr base::Duration kCoverageInterval = std::chrono::milliseconds(1000);
+// Non-repeatable requests are used only for upstreams that no repeatable one
+// has covered by then.
+constexpr base::Duration kCoverageIntervalNonRepeatable =
+    std::chrono::milliseconds(1400);
+// Interval while few requests fail. Repeatable requests then keep the knowledge
+// about upstreams that non-repeatable ones avoid from growing old.
+constexpr base::Duration kCalmCoverageInterval =
+    std::chrono::milliseconds(3000);
+
+// Pause after a coverage request that did not reach its upstream.
+constexpr base::Duration kCoverageRetryPause = std::chrono::milliseconds(400);
+
+// Age at which unserved requests count half.
+constexpr base::Duration kLossHalfLife = std::chrono::milliseconds(1000);
+// Share of unserved requests above which a shard is lossy. The deployment's
+// floor binds above a tenth of a service's requests; a shard sees a part of
+// them and must have begun before.
+constexpr double kLossyShare = 0.06;
+// Requests that are assumed to have been served, so that one failure among few
+// requests is not a large share.
+constexpr double kPriorRequests = 5;
+
+double DecayFactor(const LossStats& loss_stats, base::TimePoint now) {
+  const double age = static_cast<double>((now - loss_stats.decayed_at).count());
+  return std::exp2(-age / static_cast<double>(kLossHalfLife.count()));
+}
+
+void Decay(LossStats& loss_stats, base::TimePoint now) {
+  const double factor = DecayFactor(loss_stats, now);
+  loss_stats.placed *= factor;
+  loss_stats.unserved *= factor;
+  loss_stats.decayed_at = now;
+}
+
+base::Duration CoverageInterval(bool repeatable, bool lossy) {
+  if (!lossy)
+    return kCalmCoverageInterval;
+  return repeatable ? kCoverageInterval : kCoverageIntervalNonRepeatable;
+}
+
+// Tells whether the upstream can take one more request. Stalled requests do not
+// count, because an upstream that hangs would otherwise stay uncovered until
+// their deadlines.
+bool HasRoom(const UpstreamState& upstream) {
+  const std::uint32_t stalled =
+      std::min(upstream.stalled_count, upstream.running_count);
+  return upstream.running_count - stalled < upstream.entry.slots;
+}
+
+}  // namespace
+
+void CountPlaced(LossStats& loss_stats, base::TimePoint now) {
+  Decay(loss_stats, now);
+  loss_stats.placed += 1;
+}
+
+void CountUnserved(LossStats& loss_stats, double weight, base::TimePoint now) {
+  Decay(loss_stats, now);
+  loss_stats.unserved += weight;
+}
+
+bool IsLossy(const LossStats& loss_stats, base::TimePoint now) {
+  const double factor = DecayFactor(loss_stats, now);
+  const double placed = factor * loss_stats.placed + kPriorRequests;
+  return factor * loss_stats.unserved > kLossyShare * placed;
+}
+
+void MarkCovered(UpstreamState& upstream, base::TimePoint now) {
+  upstream.previously_covered_at = upstream.covered_at;
+  upstream.covered_at = now;
+}
+
+void RevokeCoverage(UpstreamState& upstream,
+                    const RunningAttempt& attempt,
+                    base::TimePoint now) {
+  if (upstream.covered_at != attempt.granted_at)
+    return;
+  upstream.covered_at = upstream.previously_covered_at;
+  upstream.cover_not_before = now + kCoverageRetryPause;
+}
+
+UpstreamState* FindUpstreamToCover(ShardState& shard_state,
+                                   const base::DaemonId& daemon,
+                                   const SlotRequest& slot_request,
+                                   base::TimePoint now) {
+  const bool repeatable = slot_request.work_class.repeatable;
+  const bool lossy = IsLossy(shard_state.loss_stats, now);
+  if (!repeatable && !lossy)
+    return nullptr;
+  const base::Duration interval = CoverageInterval(repeatable, lossy);
+  UpstreamState* oldest = nullptr;
+  for (auto& [id, upstream] : shard_state.upstreams) {
+    if (now - upstream.covered_at < interval ||
+        upstream.cover_not_before > now ||
+        !MayBeSentTo(upstream, daemon, slot_request, now) || !HasRoom(upstream))
+      continue;
+    if (!oldest || upstream.covered_at < oldest->covered_at)
+      oldest = &upstream;
+  }
+  return oldest;
+}
+
+}  // namespace poplarfork::dispatch
--- /dev/null
+++ b/src/dispatch/coverage_func.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/time_type.h"
+#include "dispatch/dispatcher_type.h"
+#include "dispatch/message_type.h"
+#include "dispatch/upstream_state_type.h"
+
+namespace poplarfork::dispatch {
+
+// Coverage is the promise that every ready upstream that can be reached keeps
+// receiving requests, however bad it looks. The load pattern that this handles
+// is many requests that fail from a cause that the outcomes do not show: the
+// upstreams that look bad may then be healthy, and the ones that look good
+// cannot carry the load alone.
+//
+// An upstream is due for coverage when no request has been sent to it for the
+// coverage interval. A due upstream goes before all other placement, whatever
+// its health status and cost are. Repeatable requests are used for it first.
+
+// Counts a request that has been granted an upstream for the first time.
+void CountPlaced(LossStats& loss_stats, base::TimePoint now);
+
+// Counts a request that will probably not be served. `weight` (0 to 1) is the
+// probability of that.
+void CountUnserved(LossStats& loss_stats, double weight, base::TimePoint now);
+
+// Tells whether so many requests fail that all upstreams must be covered at the
+// short interval.
+bool IsLossy(const LossStats& loss_stats, base::TimePoint now);
+
+// Records that a request is granted to the upstream and will reach it.
+void MarkCovered(UpstreamState& upstream, base::TimePoint now);
+
+// Records that a granted request did not reach the upstream. The upstream
+// becomes due again after a pause, so that an unreachable upstream does not
+// delay every request.
+void RevokeCoverage(UpstreamState& upstream,
+                    const RunningAttempt& attempt,
+                    base::TimePoint now);
+
+// Returns the upstream that has been due for coverage the longest and that the
+// request may be sent to, or null if there is none.
+UpstreamState* FindUpstreamToCover(ShardState& shard_state,
+                                   const base::DaemonId& daemon,
+                                   const SlotRequest& slot_request,
+                                   base::TimePoint now);
+
+}  // namespace poplarfork::dispatch
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -5,6 +5,7 @@
 
 #include "base/rng_func.h"
 #include "dispatch/admission_func.h"
+#include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/placement_func.h"
@@ -80,6 +81,35 @@
   return std::max(stall_time, kMinStallTime);
 }
 
+// Probability that a repeatable request whose attempt has failed is not served
+// by its next attempt either.
+constexpr double kRepeatableUnservedWeight = 0.3;
+
+double UnservedWeight(const WorkClass& work_class) {
+  return work_class.repeatable ? kRepeatableUnservedWeight : 1;
+}
+
+// Counts a request as probably not served if its attempt has failed in a way
+// that has not been counted when the attempt stalled.
+void CountLostAttempt(ShardState& shard_state,
+                      const RunningAttempt& attempt,
+                      Outcome outcome,
+                      base::TimePoint now) {
+  const bool lost =
+      outcome == Outcome::kFailed || outcome == Outcome::kConnectionBroken ||
+      outcome == Outcome::kInvalidResponse || outcome == Outcome::kStalled;
+  if (lost && !attempt.stall_counted)
+    CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.work_class),
+                  now);
+}
+
+// Tells whether the upstream has not received the request of an attempt that
+// ended with this outcome.
+bool IsNotSent(Outcome outcome) {
+  return outcome == Outcome::kUnused || outcome == Outcome::kUnreachable ||
+         outcome == Outcome::kConnectionRefused;
+}
+
 fleet::Shard RequestedShard(const SlotRequest& slot_request) {
   return {slot_request.work_class.service, slot_request.shard_index,
           slot_request.shard_count};
@@ -122,8 +152,11 @@
   ++upstream.running_count;
   ++upstream.granted_since_response;
   upstream.grant_times.push_back(now);
-  if (!slot_request.is_retry)
+  MarkCovered(upstream, now);
+  if (!slot_request.is_retry) {
     CountFirstAttempt(dispatcher.settings, shard_state, now);
+    CountPlaced(shard_state.loss_stats, now);
+  }
   actions.push_back(SendGrant{
       daemon, Grant{slot_request.attempt_id, upstream.entry.id,
                     upstream.entry.address, attempt.retry_at - now, waited}});
@@ -228,6 +261,8 @@
       const double weight = RecordDaemonOutcome(
           dispatcher, attempt.daemon, attempt.upstream, Outcome::kStalled, now);
       CountStall(upstream->second, attempt, weight, now, actions);
+      CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.work_class),
+                    now);
     }
     ++item;
   }
@@ -244,6 +279,7 @@
         shard_state, queued_request.slot_request.work_class, base::Duration(0));
     if (now + Scale(duration, kShortDurationShare) < queued_request.deadline)
       return false;
+    CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
         SendRefusal{queued_request.daemon,
                     MakeRefusal(&shard_state, queued_request.slot_request,
@@ -284,6 +320,8 @@
   if (slot_request.is_retry &&
       !TryTakeRetryToken(dispatcher.settings, shard_state,
                          slot_request.work_class, now)) {
+    CountUnserved(shard_state.loss_stats,
+                  UnservedWeight(slot_request.work_class), now);
     actions.push_back(
         SendRefusal{daemon, MakeRefusal(&shard_state, slot_request,
                                         RefusalReason::kRetryBudget, rng)});
@@ -301,6 +339,7 @@
     return actions;
   }
   if (!MayQueue(shard_state, slot_request)) {
+    CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
         SendRefusal{daemon, MakeRefusal(&shard_state, slot_request,
                                         RefusalReason::kOverload, rng)});
@@ -336,6 +375,9 @@
   if (found_upstream == shard_state.upstreams.end())
     return actions;
   UpstreamState& upstream = found_upstream->second;
+  if (IsNotSent(report.outcome))
+    RevokeCoverage(upstream, attempt, now);
+  CountLostAttempt(shard_state, attempt, report.outcome, now);
   UpdateCrashRecords(dispatcher, upstream, attempt, report.outcome, now);
   const double weight = RecordDaemonOutcome(
       dispatcher, daemon, attempt.upstream, report.outcome, now);
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -62,6 +62,14 @@
   std::map<base::UpstreamId, base::TimePoint> last_failure_at;
 };
 
+// Recent requests of one service or shard, and those of them that were probably
+// not served. The counts decay over time.
+struct LossStats {
+  double placed = 0;
+  double unserved = 0;
+  base::TimePoint decayed_at{};
+};
+
 // State of one service, or of one shard of a service, at its dispatcher.
 struct ShardState {
   std::map<base::UpstreamId, UpstreamState> upstreams;
@@ -69,6 +77,7 @@
   std::deque<QueuedRequest> queue;
   std::map<WorkClass, DurationStats> duration_stats;
   RetryBudget retry_budget;
+  LossStats loss_stats;
   // Time of the last slot request for this shard.
   base::TimePoint last_slot_request_at{};
   // Share of the service's limits that applies to the upstreams of this shard.
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -115,6 +115,7 @@
   if (upstream.health_status == HealthStatus::kHealthy)
     upstream.next_suspension = kFirstSuspension;
   upstream.health_status = HealthStatus::kSuspended;
+  upstream.suspended_at = now;
   upstream.suspended_until = now + upstream.next_suspension;
   upstream.next_suspension =
       std::min(2 * upstream.next_suspension, kMaxSuspension);
@@ -178,9 +179,32 @@
     Suspend(upstream, reason, now, actions);
 }
 
+void BeginTrial(UpstreamState& upstream,
+                const char* reason,
+                base::TimePoint now,
+                Actions& actions) {
+  upstream.failed_probes = 0;
+  upstream.health_status = HealthStatus::kTrial;
+  upstream.trial_started_at = now;
+  upstream.trial_successes = 0;
+  // The earlier outcomes caused the suspension. Only outcomes of the trial
+  // decide whether it ends.
+  upstream.served = 0;
+  upstream.granted_since_response = 0;
+  upstream.failed = 0;
+  upstream.slowness = std::min(upstream.slowness, 2.0);
+  AppendHealthStatusChange(upstream, "trial", reason, now, actions);
+}
+
 void CountSuccess(UpstreamState& upstream,
+                  const RunningAttempt& attempt,
                   base::TimePoint now,
                   Actions& actions) {
+  // A request that was sent after the suspension for coverage says more than
+  // the probe for which the suspension waits.
+  if (upstream.health_status == HealthStatus::kSuspended &&
+      attempt.granted_at > upstream.suspended_at)
+    BeginTrial(upstream, "a coverage request succeeded", now, actions);
   upstream.served += 1;
   if (upstream.health_status != HealthStatus::kTrial)
     return;
@@ -287,7 +311,7 @@
   switch (report.outcome) {
     case Outcome::kServed:
       UpdateDurations(shard_state, upstream, attempt, report.duration);
-      CountSuccess(upstream, now, actions);
+      CountSuccess(upstream, attempt, now, actions);
       break;
     case Outcome::kFailed:
       CountFailure(upstream, 1, "a trial request failed", now, actions);
@@ -380,19 +404,8 @@
     upstream.suspended_until = now + upstream.next_suspension;
     return;
   }
-  upstream.failed_probes = 0;
-  upstream.health_status = HealthStatus::kTrial;
-  upstream.trial_started_at = now;
-  upstream.trial_successes = 0;
-  // The earlier outcomes caused the suspension. Only outcomes of the trial
-  // decide whether it ends.
-  upstream.served = 0;
-  upstream.granted_since_response = 0;
-  upstream.failed = 0;
-  upstream.slowness = std::min(upstream.slowness, 2.0);
-  AppendHealthStatusChange(upstream, "trial",
-                           healthy ? "probe succeeded" : "failed probe ignored",
-                           now, actions);
+  BeginTrial(upstream, healthy ? "probe succeeded" : "failed probe ignored",
+             now, actions);
 }
 
 void StartDueProbe(UpstreamState& upstream,
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/rng_func.h"
+#include "dispatch/coverage_func.h"
 #include "dispatch/outlier_detection_func.h"
 
 namespace poplarfork::dispatch {
@@ -58,19 +59,21 @@
 // Mean duration that is assumed while no duration has been measured.
 constexpr double kDefaultDurationUs = 300000;
 
+// Returns the requests of other dispatchers that the upstream has reported
+// recently.
+std::uint32_t RecentForeignRequests(const UpstreamState& upstream,
+                                    base::TimePoint now) {
+  return now - upstream.load_reported_at < kMaxReportedLoadAge
+             ? upstream.foreign_requests
+             : 0;
+}
+
 bool IsUsable(const UpstreamState& upstream,
               const base::DaemonId& daemon,
               const SlotRequest& slot_request,
               bool below_floor,
               base::TimePoint now) {
-  if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
-    return false;
-  if (std::find(slot_request.avoid.begin(), slot_request.avoid.end(),
-                upstream.entry.id) != slot_request.avoid.end())
-    return false;
-  const auto path_failure = upstream.path_failures.find(daemon);
-  if (path_failure != upstream.path_failures.end() &&
-      path_failure->second.avoid_until > now)
+  if (!MayBeSentTo(upstream, daemon, slot_request, now))
     return false;
   if (upstream.health_status == HealthStatus::kSuspended)
     return below_floor;
@@ -111,7 +114,7 @@
                      base::Rng& rng) {
   const std::uint32_t used = upstream.running_count -
                              StalledBeforeTrial(upstream) +
-                             upstream.foreign_requests;
+                             RecentForeignRequests(upstream, now);
   double cost = (used + 1.0) / upstream.entry.slots *
                 std::clamp(upstream.slowness, 0.5, 4.0);
   const bool repeatable = slot_request.work_class.repeatable;
@@ -180,18 +183,34 @@
 }  // namespace
 
 std::uint32_t FreeSlots(const UpstreamState& upstream, base::TimePoint now) {
-  const bool is_recent = now - upstream.load_reported_at < kMaxReportedLoadAge;
   const std::uint32_t used =
-      upstream.running_count + (is_recent ? upstream.foreign_requests : 0);
+      upstream.running_count + RecentForeignRequests(upstream, now);
   return used >= upstream.entry.slots ? 0 : upstream.entry.slots - used;
 }
 
+bool MayBeSentTo(const UpstreamState& upstream,
+                 const base::DaemonId& daemon,
+                 const SlotRequest& slot_request,
+                 base::TimePoint now) {
+  if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
+    return false;
+  if (std::find(slot_request.avoid.begin(), slot_request.avoid.end(),
+                upstream.entry.id) != slot_request.avoid.end())
+    return false;
+  const auto path_failure = upstream.path_failures.find(daemon);
+  return path_failure == upstream.path_failures.end() ||
+         path_failure->second.avoid_until <= now;
+}
+
 UpstreamState* PlaceRequest(ShardState& shard_state,
                             const base::DaemonId& daemon,
                             const SlotRequest& slot_request,
                             double floor_share,
                             base::TimePoint now,
                             base::Rng& rng) {
+  if (UpstreamState* uncovered =
+          FindUpstreamToCover(shard_state, daemon, slot_request, now))
+    return uncovered;
   const bool below_floor = IsBelowFloor(shard_state, floor_share);
   const base::Duration mean_duration =
       MeanDuration(shard_state, slot_request.work_class, base::Duration(0));
--- a/src/dispatch/placement_func.h
+++ b/src/dispatch/placement_func.h
@@ -8,6 +8,13 @@
 // Returns the slots of `upstream` that are free as far as the dispatcher knows.
 std::uint32_t FreeSlots(const UpstreamState& upstream, base::TimePoint now);
 
+// Tells whether a request of `daemon` may be sent to the upstream as far as its
+// entry and the paths to it are concerned, whatever its health status is.
+bool MayBeSentTo(const UpstreamState& upstream,
+                 const base::DaemonId& daemon,
+                 const SlotRequest& slot_request,
+                 base::TimePoint now);
+
 // Chooses the upstream for a slot request of `daemon`, or returns null if no
 // upstream has a free slot. The load pattern that this handles is many daemons
 // that each see only a few requests, in front of upstreams with few slots and
--- a/src/dispatch/shard_state_func.cc
+++ b/src/dispatch/shard_state_func.cc
@@ -52,6 +52,7 @@
   UpstreamState replacement;
   replacement.entry = entry;
   replacement.decayed_at = now;
+  replacement.covered_at = now;
   if (known != shard_state.upstreams.end()) {
     replacement.running_count = known->second.running_count;
     replacement.grant_times = known->second.grant_times;
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -66,7 +66,14 @@
   // Times at which the running attempts were granted.
   std::vector<base::TimePoint> grant_times;
 
+  // When a request was last sent to the upstream, and the time before; coverage
+  // attempts pause until `cover_not_before`. See coverage_func.h.
+  base::TimePoint covered_at{};
+  base::TimePoint previously_covered_at{};
+  base::TimePoint cover_not_before{};
+
   HealthStatus health_status = HealthStatus::kHealthy;
+  base::TimePoint suspended_at{};
   base::TimePoint suspended_until{};
   base::Duration next_suspension{};
   base::TimePoint trial_started_at{};
