Read the store directly when no reader confirms the view

A gateway learned changes from two readers only. When both are stopped, without power or turned away by the store, it suspected them after 1.5 s of silence (a reader whose call hangs, after 2.5 s), and the next readers had to begin to read: together more than the bound.

Change: view updates carry the age of the reader's last read. A gateway whose view nobody has confirmed for 1.2 s makes one read round itself; after failures the pauses grow, so that a store that is down is not loaded by all. A round that a paused process receives late confirms no more than the time by which the store had answered.

Ruled out: three readers (the same fault with one more machine), shorter suspicion times (they suspect readers that are only slow).

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -67,6 +67,14 @@
   body.set_removed(record.removed);
 }
 
+// Returns the age in milliseconds, rounded up so that it is never zero.
+std::uint32_t ToReadAge(base::Duration age) {
+  constexpr std::int64_t kMaxReadAgeMs = 1'000'000'000;
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1, 1,
+      kMaxReadAgeMs));
+}
+
 void EncodeBody(FleetDatagram& out,
                 const ViewUpdate& update,
                 base::TimePoint now) {
@@ -87,6 +95,8 @@
   body.set_is_full(update.is_full_list);
   body.set_more(update.more);
   body.set_since(update.since.value);
+  if (update.read_age)
+    body.set_read_age_ms(ToReadAge(*update.read_age));
 }
 
 void EncodeBody(FleetDatagram& out,
@@ -216,6 +226,8 @@
   update.is_full_list = body.is_full();
   update.more = body.more();
   update.since = {body.since()};
+  if (body.read_age_ms() > 0)
+    update.read_age = std::chrono::milliseconds(body.read_age_ms());
   return update;
 }
 
--- a/src/datagram/message_type.h
+++ b/src/datagram/message_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -43,6 +44,8 @@
   bool more = false;
   fleet::ConfigurationVersion configuration_version;
   bool store_stale = false;
+  // Time since which the sender has not read the store; empty if it never has.
+  std::optional<base::Duration> read_age;
   // The member list in the store does not name the receiver.
   bool unknown_member = false;
   std::vector<fleet::MemberRecord> members;
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -13,6 +13,7 @@
 #include "dispatch/dispatcher_type.h"
 #include "edge/server.h"
 #include "fleet/configuration_type.h"
+#include "fleet/freshness_type.h"
 #include "fleet/list_batch_type.h"
 #include "fleet/shard_type.h"
 #include "fleet/traffic_split_type.h"
@@ -111,6 +112,8 @@
   std::shared_ptr<edge::Server> directory_server;
 
   StoreClientState store;
+  // How current the view is.
+  fleet::Freshness freshness;
   // When each store reader last sent a view update.
   std::map<base::DaemonId, base::TimePoint> last_update_at;
   std::map<base::DaemonId, ViewUpdateAssembly> update_assemblies;
--- a/src/gateway/peer_driver.cc
+++ b/src/gateway/peer_driver.cc
@@ -7,6 +7,7 @@
 
 #include "base/rng_func.h"
 #include "clock/now_func.h"
+#include "fleet/freshness_func.h"
 #include "fleet/view_func.h"
 #include "gateway/configuration_driver.h"
 #include "gateway/dispatch_driver.h"
@@ -25,6 +26,9 @@
 // is requested again after this time.
 constexpr base::Duration kBatchRetryInterval = std::chrono::milliseconds(150);
 
+// Shortest interval between Hellos.
+constexpr base::Duration kMinHelloInterval = std::chrono::milliseconds(100);
+
 // A store reader that sends no view update for this long is suspected and
 // passed over. Two Hellos have then remained without a reply.
 constexpr base::Duration kViewUpdateTimeout = std::chrono::milliseconds(1500);
@@ -149,6 +153,21 @@
   }
 };
 
+// Returns the time until the next Hellos. It is shorter when a direct read of
+// the store becomes due before.
+base::Duration HelloDelay(Gateway& gateway) {
+  // The jitter keeps the Hellos of all daemons spread over the interval.
+  const base::Duration interval =
+      IsReceivingList(gateway) ? kBatchRetryInterval : fleet::kHelloInterval;
+  const auto jitter = base::Duration(
+      static_cast<std::int64_t>(base::Uniform01(gateway.rng) * 0.2 *
+                                static_cast<double>(interval.count())));
+  const base::Duration until_direct_read =
+      fleet::DirectReadDueAt(gateway.freshness) - clock::Now();
+  return std::min(interval - jitter,
+                  std::max(until_direct_read, kMinHelloInterval));
+}
+
 }  // namespace
 
 bool IsReader(const Gateway& gateway, base::TimePoint now) {
@@ -221,18 +240,12 @@
   receivers.erase(gateway.view.self);
   for (const base::DaemonId& receiver : receivers)
     SendHello(gateway, receiver);
-  if (IsReader(gateway, now))
+  if (IsReader(gateway, now) || fleet::IsDirectReadDue(gateway.freshness, now))
     EnsureReading(gateway);
 }
 
 void StartHellos(Gateway& gateway) {
-  // The jitter keeps the Hellos of all daemons spread over the interval.
-  const base::Duration interval =
-      IsReceivingList(gateway) ? kBatchRetryInterval : fleet::kHelloInterval;
-  const auto jitter = base::Duration(
-      static_cast<std::int64_t>(base::Uniform01(gateway.rng) * 0.2 *
-                                static_cast<double>(interval.count())));
-  gateway.hello_timer.expires_after(interval - jitter);
+  gateway.hello_timer.expires_after(HelloDelay(gateway));
   gateway.hello_timer.async_wait(
       [&gateway](const boost::system::error_code& error) {
         if (error)
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -6,6 +6,7 @@
 
 #include "base/error_func.h"
 #include "clock/now_func.h"
+#include "fleet/freshness_func.h"
 #include "fleet/view_func.h"
 #include "gateway/configuration_driver.h"
 #include "gateway/dispatch_driver.h"
@@ -221,6 +222,21 @@
       });
 }
 
+// Records that the view is current up to the time at which the store answered
+// the read that began with the present round. A paused process may receive the
+// answer long after the store has sent it.
+void ConfirmRead(Gateway& gateway, base::Duration longest_wait) {
+  const base::TimePoint answered_by =
+      gateway.store.read_round_started_at + longest_wait;
+  fleet::ConfirmView(gateway.freshness, std::min(clock::Now(), answered_by));
+}
+
+// Schedules the next read round after one that failed.
+void RetryReadRound(Gateway& gateway) {
+  fleet::DelayDirectReads(gateway.freshness, clock::Now());
+  ScheduleReadRound(gateway, RandomStoreRetryDelay(gateway));
+}
+
 // Applies the complete lists of upstreams and members, and removes everything
 // from the view that they do not contain.
 void ApplyListings(Gateway& gateway,
@@ -258,6 +274,7 @@
   gateway.view.removals_known_since = as_of;
   gateway.list_progress = {};
   gateway.dispatcher.ready = true;
+  ConfirmRead(gateway, base::Duration(0));
   AnnounceChanges(gateway, changes);
 }
 
@@ -267,14 +284,14 @@
       gateway, platform::kUpstreamKeyPrefix,
       [&gateway](const Listing* upstreams) {
         if (!upstreams) {
-          ScheduleReadRound(gateway, RandomStoreRetryDelay(gateway));
+          RetryReadRound(gateway);
           return;
         }
         ListStoreItems(
             gateway, platform::kMemberKeyPrefix,
             [&gateway, upstream_listing = *upstreams](const Listing* members) {
               if (!members) {
-                ScheduleReadRound(gateway, RandomStoreRetryDelay(gateway));
+                RetryReadRound(gateway);
                 return;
               }
               ApplyListings(gateway, upstream_listing, *members);
@@ -297,7 +314,7 @@
       Log(gateway, "store_answer_unreadable",
           {{"call", "watch"},
            {"error", base::ToString(parsed_changes.error())}});
-    ScheduleReadRound(gateway, RandomStoreRetryDelay(gateway));
+    RetryReadRound(gateway);
     return;
   }
   Changes changes;
@@ -310,6 +327,7 @@
   // All changes up to the revision that the watch started from were known
   // before, so the view is now complete.
   gateway.dispatcher.ready = true;
+  ConfirmRead(gateway, kWatchMaxWait);
   AnnounceChanges(gateway, changes);
   ScheduleReadRound(gateway,
                     kReadRoundInterval -
@@ -321,7 +339,8 @@
 // is no longer a store reader.
 void StartReadRound(Gateway& gateway) {
   const base::TimePoint now = clock::Now();
-  if (!IsReader(gateway, now) && gateway.view.as_of.value > 0) {
+  if (!IsReader(gateway, now) && gateway.view.as_of.value > 0 &&
+      !fleet::IsDirectReadDue(gateway.freshness, now)) {
     gateway.store.is_reading = false;
     Log(gateway, "store_reading_stopped",
         {{"known_to_revision", gateway.view.as_of.value}});
--- a/src/gateway/view_update_driver.cc
+++ b/src/gateway/view_update_driver.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "clock/now_func.h"
+#include "fleet/freshness_func.h"
 #include "fleet/list_batch_func.h"
 #include "fleet/view_func.h"
 #include "gateway/configuration_driver.h"
@@ -59,6 +60,8 @@
   if (gateway.configuration)
     update.configuration_version = gateway.configuration->version;
   update.store_stale = IsStoreStale(gateway, now);
+  if (gateway.freshness.confirmed_at != base::TimePoint{})
+    update.read_age = now - gateway.freshness.confirmed_at;
   return update;
 }
 
@@ -263,6 +266,10 @@
         {update.unavailable.begin(), update.unavailable.end()}, now};
   if (update.unknown_member)
     RestartRegistration(gateway);
+  const bool is_complete = update.part_count > 0 && !update.more &&
+                           gateway.view.as_of >= update.as_of;
+  if (update.read_age && is_complete)
+    fleet::ConfirmView(gateway.freshness, now - *update.read_age);
   const fleet::ConfigurationVersion current_version =
       gateway.configuration ? gateway.configuration->version
                             : fleet::ConfigurationVersion{};
--- a/tests/datagram/codec_test.cc
+++ b/tests/datagram/codec_test.cc
@@ -68,6 +68,7 @@
   update.is_full_list = true;
   update.more = true;
   update.since = {11};
+  update.read_age = milliseconds(350);
   update.upstreams.resize(1);
   update.upstreams[0].entry.id = {"u"};
   update.upstreams[0].entry.cold_until = kSendTime + milliseconds(1500);
@@ -76,6 +77,11 @@
   BOOST_TEST(decoded_update.is_full_list);
   BOOST_TEST(decoded_update.more);
   BOOST_TEST((decoded_update.since == update.since));
+  // Ages are rounded up, so that a view never seems more current than it is.
+  BOOST_REQUIRE(decoded_update.read_age);
+  BOOST_TEST((*decoded_update.read_age >= milliseconds(350)));
+  BOOST_TEST((*decoded_update.read_age <= milliseconds(352)));
+  BOOST_TEST(!EncodeAndDecode(ViewUpdate{}).read_age);
   // Points in time are encoded as the time left until them.
   BOOST_TEST((decoded_update.upstreams[0].entry.cold_until ==
               kReceiveTime + milliseconds(1500)));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,6 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
 #include <string>
+#include <vector>
 
 #include "clock/now_func.h"
 #include "fleet/view_func.h"
@@ -355,6 +358,52 @@
   }));
 }
 
+// Guards against a daemon that has an old configuration because the store
+// readers' calls hang: it must not wait until they find that out.
+BOOST_AUTO_TEST_CASE(DaemonsReadTheStoreWhileReadersHang) {
+  FleetFixture fleet;
+  fleet.WriteConfiguration(1);
+  fleet.AddUpstream("u1");
+  for (int i = 0; i < 3; ++i)
+    fleet.AddGateway();
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return std::all_of(
+        fleet.gateways.begin(), fleet.gateways.end(), [](const auto& gateway) {
+          return gateway->view.members.size() == 3 && IsAccepting(*gateway);
+        });
+  }));
+  std::vector<Gateway*> readers;
+  Gateway* dependent = nullptr;
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    readers.clear();
+    for (const auto& gateway : fleet.gateways) {
+      if (IsReader(*gateway, clock::Now()))
+        readers.push_back(gateway.get());
+      else
+        dependent = gateway.get();
+    }
+    return readers.size() == 2;
+  }));
+  // The system accepts connections to this address, but nothing responds.
+  boost::asio::ip::tcp::acceptor silent_store(
+      fleet.loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const base::TimePoint silent_since = clock::Now();
+  for (Gateway* reader : readers)
+    reader->settings.store_address =
+        "127.0.0.1:" + std::to_string(silent_store.local_endpoint().port());
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return std::all_of(
+        readers.begin(), readers.end(), [&](const Gateway* reader) {
+          return reader->store.read_round_started_at > silent_since;
+        });
+  }));
+  fleet.WriteConfiguration(3);
+  BOOST_TEST(
+      fleet.RunUntil([&] { return GetConfigurationVersion(*dependent) == 3; }));
+  for (const Gateway* reader : readers)
+    BOOST_TEST(!reader->store.failing);
+}
+
 // Guards against a shutdown that breaks off requests in progress or accepts
 // requests that it cannot finish, and against callers that are still sent to a
 // gateway that drains.
