Place requests by the estimated probability of a gray failure

Five separate costs (failure share, stall, silence, unanswered requests, probation) said little about an upstream from which nothing fresh was known, and a repeatable request that had lost one attempt was placed like a first attempt.

Change: fault_estimate_func, a two-state model per upstream, updated by each outcome at the time its attempt was granted; open attempts count the more the longer they take. It replaces the five costs. Requests whose last attempt it is (work that runs once, and retries) weigh it twice as much. Coverage holds only while many requests fail, counts lost first attempts of repeatable work as a tenth of a lost request, and assumes 700 ms without a request when an upstream becomes known. Suspensions grow to 8 s, as coverage now bounds idle time.

--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -12,15 +12,10 @@
 // The deployment's floor is judged over windows of two seconds. The intervals
 // leave time to find a request for each upstream that is due.
 constexpr base::Duration kCoverageInterval = std::chrono::milliseconds(1000);
-// Non-repeatable requests are used only for upstreams that no repeatable one
-// has covered by then.
-constexpr base::Duration kCoverageIntervalNonRepeatable =
+// Requests whose last attempt this is are used only for upstreams that no other
+// request has covered by then.
+constexpr base::Duration kCoverageIntervalLastAttempt =
     std::chrono::milliseconds(1400);
-// Interval while few requests fail. Repeatable requests then keep the knowledge
-// about upstreams that non-repeatable ones avoid from growing old.
-constexpr base::Duration kCalmCoverageInterval =
-    std::chrono::milliseconds(3000);
-
 // Pause after a coverage request that did not reach its upstream.
 constexpr base::Duration kCoverageRetryPause = std::chrono::milliseconds(400);
 
@@ -46,12 +41,6 @@
   loss_stats.decayed_at = now;
 }
 
-base::Duration CoverageInterval(bool repeatable, bool lossy) {
-  if (!lossy)
-    return kCalmCoverageInterval;
-  return repeatable ? kCoverageInterval : kCoverageIntervalNonRepeatable;
-}
-
 // Tells whether the upstream can take one more request. Stalled requests do not
 // count, because an upstream that hangs would otherwise stay uncovered until
 // their deadlines.
@@ -97,11 +86,11 @@
                                    const base::DaemonId& daemon,
                                    const SlotRequest& slot_request,
                                    base::TimePoint now) {
-  const bool repeatable = slot_request.work_class.repeatable;
-  const bool lossy = IsLossy(shard_state.loss_stats, now);
-  if (!repeatable && !lossy)
+  if (!IsLossy(shard_state.loss_stats, now))
     return nullptr;
-  const base::Duration interval = CoverageInterval(repeatable, lossy);
+  const base::Duration interval = MustSucceed(slot_request)
+                                      ? kCoverageIntervalLastAttempt
+                                      : kCoverageInterval;
   UpstreamState* oldest = nullptr;
   for (auto& [id, upstream] : shard_state.upstreams) {
     if (now - upstream.covered_at < interval ||
--- a/src/dispatch/coverage_func.h
+++ b/src/dispatch/coverage_func.h
@@ -7,15 +7,16 @@
 
 namespace poplarfork::dispatch {
 
-// Coverage is the promise that every ready upstream that can be reached keeps
-// receiving requests, however bad it looks. The load pattern that this handles
-// is many requests that fail from a cause that the outcomes do not show: the
-// upstreams that look bad may then be healthy, and the ones that look good
-// cannot carry the load alone.
+// Coverage is the promise that while many requests fail, every ready upstream
+// that can be reached keeps receiving requests, however bad it looks. The load
+// pattern that this handles is many failures from a cause that the outcomes do
+// not show: the upstreams that look bad may then be healthy, and the ones that
+// look good cannot carry the load alone.
 //
 // An upstream is due for coverage when no request has been sent to it for the
 // coverage interval. A due upstream goes before all other placement, whatever
-// its health status and cost are. Repeatable requests are used for it first.
+// its health status and cost are. Requests that can be sent again are used for
+// it first.
 
 // Counts a request that has been granted an upstream for the first time.
 void CountPlaced(LossStats& loss_stats, base::TimePoint now);
@@ -24,8 +25,7 @@
 // probability of that.
 void CountUnserved(LossStats& loss_stats, double weight, base::TimePoint now);
 
-// Tells whether so many requests fail that all upstreams must be covered at the
-// short interval.
+// Tells whether so many requests fail that all upstreams must be covered.
 bool IsLossy(const LossStats& loss_stats, base::TimePoint now);
 
 // Records that a request is granted to the upstream and will reach it.
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -83,10 +83,10 @@
 
 // Probability that a repeatable request whose attempt has failed is not served
 // by its next attempt either.
-constexpr double kRepeatableUnservedWeight = 0.3;
+constexpr double kRepeatableUnservedWeight = 0.1;
 
-double UnservedWeight(const WorkClass& work_class) {
-  return work_class.repeatable ? kRepeatableUnservedWeight : 1;
+double UnservedWeight(bool must_succeed) {
+  return must_succeed ? 1 : kRepeatableUnservedWeight;
 }
 
 // Counts a request as probably not served if its attempt has failed in a way
@@ -99,7 +99,7 @@
       outcome == Outcome::kFailed || outcome == Outcome::kConnectionBroken ||
       outcome == Outcome::kInvalidResponse || outcome == Outcome::kStalled;
   if (lost && !attempt.stall_counted)
-    CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.work_class),
+    CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.must_succeed),
                   now);
 }
 
@@ -141,6 +141,7 @@
   attempt.upstream = upstream.entry.id;
   attempt.shard = RequestedShard(slot_request);
   attempt.work_class = slot_request.work_class;
+  attempt.must_succeed = MustSucceed(slot_request);
   attempt.fingerprint = slot_request.fingerprint;
   attempt.granted_at = now;
   attempt.stalls_at = now + stall_time;
@@ -150,8 +151,9 @@
       now + slot_request.until_deadline - waited + kReportGraceTime;
   dispatcher.running_attempts[{daemon, slot_request.attempt_id}] = attempt;
   ++upstream.running_count;
-  ++upstream.granted_since_response;
-  upstream.grant_times.push_back(now);
+  upstream.open_attempts.push_back(
+      {now,
+       MeanDuration(shard_state, slot_request.work_class, base::Duration(0))});
   MarkCovered(upstream, now);
   if (!slot_request.is_retry) {
     CountFirstAttempt(dispatcher.settings, shard_state, now);
@@ -222,17 +224,24 @@
   return true;
 }
 
+std::vector<OpenAttempt>::iterator FindOpenAttempt(UpstreamState& upstream,
+                                                   base::TimePoint granted_at) {
+  return std::find_if(upstream.open_attempts.begin(),
+                      upstream.open_attempts.end(),
+                      [granted_at](const OpenAttempt& open_attempt) {
+                        return open_attempt.granted_at == granted_at;
+                      });
+}
+
 void ReleaseSlot(ShardState& shard_state, const RunningAttempt& attempt) {
   const auto found = shard_state.upstreams.find(attempt.upstream);
   if (found == shard_state.upstreams.end())
     return;
   UpstreamState& upstream = found->second;
   upstream.running_count -= upstream.running_count > 0 ? 1 : 0;
-  const auto grant_time =
-      std::find(upstream.grant_times.begin(), upstream.grant_times.end(),
-                attempt.granted_at);
-  if (grant_time != upstream.grant_times.end())
-    upstream.grant_times.erase(grant_time);
+  const auto open_attempt = FindOpenAttempt(upstream, attempt.granted_at);
+  if (open_attempt != upstream.open_attempts.end())
+    upstream.open_attempts.erase(open_attempt);
   if (attempt.stall_counted)
     upstream.stalled_count -= upstream.stalled_count > 0 ? 1 : 0;
 }
@@ -261,8 +270,12 @@
       const double weight = RecordDaemonOutcome(
           dispatcher, attempt.daemon, attempt.upstream, Outcome::kStalled, now);
       CountStall(upstream->second, attempt, weight, now, actions);
-      CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.work_class),
-                    now);
+      const auto open_attempt =
+          FindOpenAttempt(upstream->second, attempt.granted_at);
+      if (open_attempt != upstream->second.open_attempts.end())
+        open_attempt->expected_duration = base::Duration(0);
+      CountUnserved(shard_state.loss_stats,
+                    UnservedWeight(attempt.must_succeed), now);
     }
     ++item;
   }
@@ -321,7 +334,7 @@
       !TryTakeRetryToken(dispatcher.settings, shard_state,
                          slot_request.work_class, now)) {
     CountUnserved(shard_state.loss_stats,
-                  UnservedWeight(slot_request.work_class), now);
+                  UnservedWeight(MustSucceed(slot_request)), now);
     actions.push_back(
         SendRefusal{daemon, MakeRefusal(&shard_state, slot_request,
                                         RefusalReason::kRetryBudget, rng)});
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/fault_estimate_func.h"
+
 namespace poplarfork::dispatch {
 
 namespace {
@@ -32,9 +34,9 @@
 // The first suspension lasts this long; each following one lasts twice as long
 // as the one before, up to the maximum.
 constexpr base::Duration kFirstSuspension = std::chrono::milliseconds(1000);
-// The maximum is short because healthy upstreams that were suspended by mistake
-// must not stay idle for longer.
-constexpr base::Duration kMaxSuspension = std::chrono::milliseconds(4000);
+// Coverage keeps upstreams that were suspended by mistake from being idle for
+// so long while their capacity is needed.
+constexpr base::Duration kMaxSuspension = std::chrono::milliseconds(8000);
 
 // Number of consecutive trial requests that must succeed before an upstream is
 // reinstated. An upstream that fails half of its requests passes two with a
@@ -125,7 +127,6 @@
 
 void Reinstate(UpstreamState& upstream, base::TimePoint now, Actions& actions) {
   upstream.health_status = HealthStatus::kHealthy;
-  upstream.reinstated_at = now;
   upstream.served = 0;
   upstream.failed = 0;
   upstream.shed = 0;
@@ -190,7 +191,6 @@
   // The earlier outcomes caused the suspension. Only outcomes of the trial
   // decide whether it ends.
   upstream.served = 0;
-  upstream.granted_since_response = 0;
   upstream.failed = 0;
   upstream.slowness = std::min(upstream.slowness, 2.0);
   AppendHealthStatusChange(upstream, "trial", reason, now, actions);
@@ -304,26 +304,31 @@
                   Actions& actions) {
   DecayOutcomes(upstream, now);
   UpdateForeignRequests(upstream, report, now);
-  if (IsResponse(report.outcome)) {
+  if (IsResponse(report.outcome))
     upstream.last_response_at = now;
-    upstream.granted_since_response = 0;
-  }
   switch (report.outcome) {
     case Outcome::kServed:
       UpdateDurations(shard_state, upstream, attempt, report.duration);
+      Observe(upstream.fault_estimate, Evidence::kServed, 1,
+              attempt.granted_at);
       CountSuccess(upstream, attempt, now, actions);
       break;
     case Outcome::kFailed:
+      Observe(upstream.fault_estimate, Evidence::kLost, 1, attempt.granted_at);
       CountFailure(upstream, 1, "a trial request failed", now, actions);
       break;
     case Outcome::kConnectionBroken:
     case Outcome::kInvalidResponse:
+      Observe(upstream.fault_estimate, Evidence::kLost, weight,
+              attempt.granted_at);
       CountFailure(upstream, 1.3 * weight,
                    "a trial request got no valid response", now, actions);
       break;
     case Outcome::kStalled:
       if (!attempt.stall_counted) {
         RecordPathFailure(upstream, attempt.daemon, now);
+        Observe(upstream.fault_estimate, Evidence::kLost, weight,
+                attempt.granted_at);
         CountFailure(upstream, 1.3 * weight, "a trial request stalled", now,
                      actions);
       }
@@ -359,6 +364,7 @@
   DecayOutcomes(upstream, now);
   ++upstream.stalled_count;
   RecordPathFailure(upstream, attempt.daemon, now);
+  Observe(upstream.fault_estimate, Evidence::kLost, weight, attempt.granted_at);
   CountFailure(upstream, weight, "a trial request stalls", now, actions);
   const bool silent = upstream.last_response_at < attempt.granted_at;
   if (upstream.health_status == HealthStatus::kHealthy && silent &&
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -4,6 +4,7 @@
 
 #include "base/rng_func.h"
 #include "dispatch/coverage_func.h"
+#include "dispatch/fault_estimate_func.h"
 #include "dispatch/outlier_detection_func.h"
 
 namespace poplarfork::dispatch {
@@ -19,38 +20,19 @@
 // of an upstream's slots, so that callers' requests stay in the requesting
 // daemon's data centre until its upstreams are half full.
 constexpr double kOtherDataCentreCost = 0.4;
-constexpr double kFailureCost = 2.0;
-// A non-repeatable request that fails is lost, while a repeatable one can be
-// sent again.
-constexpr double kFailureCostNonRepeatable = 5.0;
+// Cost of the probability that the upstream has a gray failure. A request that
+// fails its last attempt is lost, while others can be sent again.
+constexpr double kFaultCost = 3.0;
+constexpr double kFaultCostLastAttempt = 6.0;
 constexpr double kShedCost = 0.7;
-constexpr double kStallCost = 1.5;
-// An upstream may give no response for this many mean durations at no cost.
-// Each further mean duration without a response adds to the cost, up to the
-// limit.
-constexpr double kSilenceAllowedDurations = 1.0;
-constexpr double kSilenceMaxDurations = 3.0;
-constexpr double kSilenceCost = 0.8;
-// The first request that is granted after the last response costs nothing, and
-// each further one adds to the cost, up to the limit. An upstream that has
-// begun to hang thus gets one or two more requests instead of filling all its
-// slots.
-constexpr std::uint32_t kUnansweredAllowed = 1;
-constexpr std::uint32_t kUnansweredLimit = 4;
-constexpr double kUnansweredCost = 0.25;
-// Non-repeatable requests prefer upstreams that have not been suspended
-// recently.
-constexpr base::Duration kProbationTime = std::chrono::milliseconds(4000);
-constexpr double kProbationCostNonRepeatable = 0.6;
 constexpr double kColdCost = 0.6;
-// Non-repeatable requests go to an upstream on trial only when all others are
-// full.
-constexpr double kTrialCostNonRepeatable = 4.0;
+// Last attempts go to an upstream on trial only when all others are full.
+constexpr double kTrialCostLastAttempt = 4.0;
 // The cost is negative because a trial request must be made from time to time
 // although other upstreams have free slots.
-constexpr double kTrialCostRepeatable = -0.5;
+constexpr double kTrialCost = -1.2;
 // A service may have no repeatable requests at all. After this time on trial,
-// an upstream gets non-repeatable requests as well.
+// an upstream gets last attempts as well.
 constexpr base::Duration kRepeatableTrialTime = std::chrono::milliseconds(3000);
 // Upper limit of a random cost that breaks ties, so that idle upstreams share
 // the requests.
@@ -80,24 +62,6 @@
   return true;
 }
 
-// Returns for how long an upstream with running attempts has given no response
-// at all, in mean durations beyond kSilenceAllowedDurations. This detects a
-// hanging upstream before any single request has taken too long.
-double SilenceInDurations(const UpstreamState& upstream,
-                          base::Duration mean_duration,
-                          base::TimePoint now) {
-  if (upstream.grant_times.empty() || mean_duration <= base::Duration(0))
-    return 0;
-  const base::TimePoint oldest = *std::min_element(upstream.grant_times.begin(),
-                                                   upstream.grant_times.end());
-  const base::Duration silent =
-      now - std::max(oldest, upstream.last_response_at);
-  const double durations = static_cast<double>(silent.count()) /
-                           static_cast<double>(mean_duration.count());
-  return std::clamp(durations - kSilenceAllowedDurations, 0.0,
-                    kSilenceMaxDurations);
-}
-
 // Returns the number of stalled attempts at an upstream on trial. They still
 // use slots, but whether they still count against the upstream is decided by
 // the trial, so the trial does not wait for their deadlines.
@@ -108,7 +72,6 @@
 }
 
 double PlacementCost(const UpstreamState& upstream,
-                     base::Duration mean_duration,
                      const SlotRequest& slot_request,
                      base::TimePoint now,
                      base::Rng& rng) {
@@ -117,36 +80,24 @@
                              RecentForeignRequests(upstream, now);
   double cost = (used + 1.0) / upstream.entry.slots *
                 std::clamp(upstream.slowness, 0.5, 4.0);
-  const bool repeatable = slot_request.work_class.repeatable;
-  cost += FailureShare(upstream, now) *
-          (repeatable ? kFailureCost : kFailureCostNonRepeatable);
-  cost += kShedCost * ShedShare(upstream, now);
+  const bool must_succeed = MustSucceed(slot_request);
   const bool is_trial = upstream.health_status == HealthStatus::kTrial;
-  if (upstream.stalled_count > 0 && !is_trial)
-    cost += kStallCost;
-  if (!is_trial)
-    cost += kSilenceCost * SilenceInDurations(upstream, mean_duration, now);
-  if (upstream.granted_since_response > kUnansweredAllowed)
-    cost += kUnansweredCost *
-            std::min(upstream.granted_since_response - kUnansweredAllowed,
-                     kUnansweredLimit);
-  const bool on_probation = upstream.reinstated_at != base::TimePoint{} &&
-                            now - upstream.reinstated_at < kProbationTime;
-  if (on_probation && !repeatable)
-    cost += kProbationCostNonRepeatable;
+  cost += FaultProbability(upstream, now) *
+          (must_succeed ? kFaultCostLastAttempt : kFaultCost);
+  cost += kShedCost * ShedShare(upstream, now);
   if (upstream.entry.cold_until > now)
     cost += kColdCost;
   if (upstream.entry.data_centre != slot_request.data_centre)
     cost += kOtherDataCentreCost;
   if (is_trial) {
-    const bool wait_for_repeatable =
+    const bool wait_for_others =
         now - upstream.trial_started_at < kRepeatableTrialTime;
-    cost += repeatable            ? kTrialCostRepeatable
-            : wait_for_repeatable ? kTrialCostNonRepeatable
-                                  : 0;
+    cost += !must_succeed     ? kTrialCost
+            : wait_for_others ? kTrialCostLastAttempt
+                              : 0;
   }
   if (upstream.health_status == HealthStatus::kSuspended)
-    cost += kTrialCostNonRepeatable;
+    cost += kTrialCostLastAttempt;
   return cost + kTieBreakNoise * base::Uniform01(rng);
 }
 
@@ -188,6 +139,10 @@
   return used >= upstream.entry.slots ? 0 : upstream.entry.slots - used;
 }
 
+bool MustSucceed(const SlotRequest& slot_request) {
+  return !slot_request.work_class.repeatable || slot_request.is_retry;
+}
+
 bool MayBeSentTo(const UpstreamState& upstream,
                  const base::DaemonId& daemon,
                  const SlotRequest& slot_request,
@@ -212,16 +167,13 @@
           FindUpstreamToCover(shard_state, daemon, slot_request, now))
     return uncovered;
   const bool below_floor = IsBelowFloor(shard_state, floor_share);
-  const base::Duration mean_duration =
-      MeanDuration(shard_state, slot_request.work_class, base::Duration(0));
   UpstreamState* best = nullptr;
   double best_cost = 0;
   for (auto& [id, upstream] : shard_state.upstreams) {
     if (!IsUsable(upstream, daemon, slot_request, below_floor, now) ||
         !HasFreeSlot(upstream, now))
       continue;
-    const double cost =
-        PlacementCost(upstream, mean_duration, slot_request, now, rng);
+    const double cost = PlacementCost(upstream, slot_request, now, rng);
     if (!best || cost < best_cost) {
       best = &upstream;
       best_cost = cost;
--- a/src/dispatch/placement_func.h
+++ b/src/dispatch/placement_func.h
@@ -8,6 +8,10 @@
 // Returns the slots of `upstream` that are free as far as the dispatcher knows.
 std::uint32_t FreeSlots(const UpstreamState& upstream, base::TimePoint now);
 
+// Tells whether the request is lost if its next attempt fails. A repeatable
+// request has used up most of its time when it is sent again.
+bool MustSucceed(const SlotRequest& slot_request);
+
 // Tells whether a request of `daemon` may be sent to the upstream as far as its
 // entry and the paths to it are concerned, whatever its health status is.
 bool MayBeSentTo(const UpstreamState& upstream,
--- a/src/dispatch/shard_state_func.cc
+++ b/src/dispatch/shard_state_func.cc
@@ -16,6 +16,10 @@
 // its upstreams is then out of date.
 constexpr base::Duration kShardLifetime = std::chrono::seconds(60);
 
+// Time for which an upstream is assumed to have been without a request when it
+// becomes known: another dispatcher may have left it out.
+constexpr base::Duration kUnknownCoverageAge = std::chrono::milliseconds(700);
+
 }  // namespace
 
 ShardState* FindOrCreateShard(Dispatcher& dispatcher,
@@ -52,10 +56,11 @@
   UpstreamState replacement;
   replacement.entry = entry;
   replacement.decayed_at = now;
-  replacement.covered_at = now;
+  replacement.covered_at = now - kUnknownCoverageAge;
+  replacement.fault_estimate.as_of = now;
   if (known != shard_state.upstreams.end()) {
     replacement.running_count = known->second.running_count;
-    replacement.grant_times = known->second.grant_times;
+    replacement.open_attempts = known->second.open_attempts;
   }
   shard_state.upstreams[entry.id] = std::move(replacement);
 }
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -18,6 +18,8 @@
   base::UpstreamId upstream;
   fleet::Shard shard;
   WorkClass work_class;
+  // The request is lost if this attempt fails, see MustSucceed().
+  bool must_succeed = true;
   Fingerprint fingerprint;
   base::TimePoint granted_at{};
   // From this time on, a repeatable request is retried at another upstream.
@@ -30,6 +32,25 @@
   bool stall_counted = false;
 };
 
+// What the running attempts at an upstream show by taking long.
+struct OpenAttempt {
+  base::TimePoint granted_at{};
+  // Mean duration of the attempt's class of work; 0 if it is unknown, or if the
+  // attempt has been counted as stalled and shows nothing more.
+  base::Duration expected_duration{};
+};
+
+// Share of the time for which an upstream is assumed to be faulty while nothing
+// is known about it.
+inline constexpr double kLongTermFaultProbability = 0.3;
+
+// Probability that an upstream was faulty at `as_of`, see
+// fault_estimate_func.h.
+struct FaultEstimate {
+  double probability = kLongTermFaultProbability;
+  base::TimePoint as_of{};
+};
+
 enum class HealthStatus {
   // The upstream receives requests. Logs and metrics call this status
   // "trusted".
@@ -59,12 +80,10 @@
   // The upstream's durations relative to the mean durations of the same classes
   // of work.
   double slowness = 1;
-  // Time of the last response of any kind, and number of requests granted since
-  // then.
+  // Time of the last response of any kind.
   base::TimePoint last_response_at{};
-  std::uint32_t granted_since_response = 0;
-  // Times at which the running attempts were granted.
-  std::vector<base::TimePoint> grant_times;
+  std::vector<OpenAttempt> open_attempts;
+  FaultEstimate fault_estimate;
 
   // When a request was last sent to the upstream, and the time before; coverage
   // attempts pause until `cover_not_before`. See coverage_func.h.
@@ -78,7 +97,6 @@
   base::Duration next_suspension{};
   base::TimePoint trial_started_at{};
   std::uint32_t trial_successes = 0;
-  base::TimePoint reinstated_at{};
   std::uint32_t failed_probes = 0;
   bool probing = false;
 
--- a/src/fleet/freshness_func.cc
+++ b/src/fleet/freshness_func.cc
@@ -9,7 +9,7 @@
 // Longest time for which a view may stay unconfirmed. Store readers confirm it
 // about once per hello interval, up to a read interval late. Shorter bounds for
 // changes leave about a second for the direct read.
-constexpr base::Duration kMaxUnconfirmedTime = std::chrono::milliseconds(1200);
+constexpr base::Duration kMaxUnconfirmedTime = std::chrono::milliseconds(1500);
 
 // Delay after the first failed direct read. It doubles with each further
 // failure up to the maximum.
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -30,7 +30,7 @@
 // Longest time for which the store holds a watch open until there is a change.
 // Upstreams write several times a second, so if no change arrives for longer,
 // the store or the connection has failed.
-constexpr base::Duration kWatchMaxWait = std::chrono::milliseconds(1000);
+constexpr base::Duration kWatchMaxWait = std::chrono::milliseconds(500);
 
 // Interval between two read rounds. The changes of one interval are read
 // together, because each answered watch counts as one call to the store. The
--- a/tests/dispatch/coverage_test.cc
+++ b/tests/dispatch/coverage_test.cc
@@ -31,6 +31,13 @@
   return smallest;
 }
 
+// Makes the dispatcher take most recent requests for unserved.
+void MakeLossy(DispatchFixture& fixture) {
+  LossStats& loss_stats = fixture.dispatcher.shards.at({kService}).loss_stats;
+  for (int i = 0; i < 20; ++i)
+    CountUnserved(loss_stats, 1, fixture.now);
+}
+
 ModelOptions DrawOptions(base::Rng& rng) {
   ModelOptions options;
   options.upstreams = 5 + static_cast<int>(base::UniformBelow(rng, 36));
@@ -86,6 +93,23 @@
   BOOST_TEST(granted >= 2);
 }
 
+// Guards against requests that are sent to upstreams with gray failures for
+// coverage while the others serve nearly all requests.
+BOOST_AUTO_TEST_CASE(NothingIsCoveredWhileFewRequestsFail) {
+  DispatchFixture fixture(4, 6);
+  fixture.ServeRequests(40);
+  UpstreamState& upstream = fixture.FindUpstream("u0");
+  upstream.health_status = HealthStatus::kSuspended;
+  upstream.suspended_until = fixture.now + seconds(60);
+  fixture.now += seconds(10);
+  for (int i = 0; i < 12; ++i) {
+    const Grant* grant =
+        fixture.RequestSlot("d", fixture.MakeSlotRequest(i % 2 == 0));
+    BOOST_REQUIRE(grant);
+    BOOST_TEST(grant->upstream.value != "u0");
+  }
+}
+
 // Guards against an unreachable upstream that is due for coverage and therefore
 // delays every request.
 BOOST_AUTO_TEST_CASE(UnreachableUpstreamsAreNotCoveredByEveryRequest) {
@@ -95,6 +119,7 @@
   dead.health_status = HealthStatus::kSuspended;
   dead.suspended_until = fixture.now + seconds(60);
   dead.covered_at = fixture.now - seconds(5);
+  MakeLossy(fixture);
   int unreachable = 0;
   for (int i = 0; i < 20; ++i) {
     const std::string daemon = "d" + std::to_string(i);
@@ -120,6 +145,7 @@
   upstream.suspended_at = fixture.now;
   upstream.suspended_until = fixture.now + seconds(60);
   fixture.now += seconds(4);
+  MakeLossy(fixture);
   for (int i = 1; i < 4; ++i)
     fixture.FindUpstream("u" + std::to_string(i)).covered_at = fixture.now;
   const Grant* grant = fixture.RequestSlot("d", fixture.MakeSlotRequest(true));
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -361,7 +361,8 @@
       fixture.dispatcher.shards.at({kService}).upstreams.at({"u0"});
   stalled_upstream.health_status = HealthStatus::kSuspended;
   stalled_upstream.suspended_until = fixture.now;
-  stalled_upstream.granted_since_response = 6;
+  stalled_upstream.open_attempts.assign(
+      6, {fixture.now - milliseconds(600), milliseconds(250)});
   OnTick(fixture.dispatcher, fixture.now, fixture.rng);
   OnProbeResult(fixture.dispatcher, kService, {"u0"}, true, fixture.now);
   const Grant* grant = fixture.RequestSlot("d", fixture.MakeSlotRequest(true));
@@ -380,7 +381,7 @@
   stalled_upstream.suspended_until = fixture.now;
   stalled_upstream.running_count = 4;
   stalled_upstream.stalled_count = 4;
-  stalled_upstream.grant_times.assign(4, fixture.now - seconds(1));
+  stalled_upstream.open_attempts.assign(4, {fixture.now - seconds(1), {}});
   OnTick(fixture.dispatcher, fixture.now, fixture.rng);
   OnProbeResult(fixture.dispatcher, kService, {"u0"}, true, fixture.now);
   const Grant* grant = fixture.RequestSlot("d", fixture.MakeSlotRequest(true));
