--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -278,7 +278,7 @@
 
 base::Result<Message> DecodeBody(const proto::FleetReport& body) {
   if (body.outcome() >
-      static_cast<std::uint32_t>(dispatch::Outcome::kCancelled))
+      static_cast<std::uint32_t>(dispatch::Outcome::kStillRunning))
     return MakeMalformedError("unknown attempt outcome");
   dispatch::AttemptReport report;
   report.attempt_id = {body.attempt()};
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -33,6 +33,10 @@
 // Factor by which more time is allowed to upstreams that have just started.
 constexpr double kColdFactor = 2.2;
 
+// Time that the daemon's report of an attempt that still runs may take to
+// arrive before the attempt counts as abandoned.
+constexpr base::Duration kStillRunningMargin = std::chrono::milliseconds(100);
+
 // An attempt that has not been reported this long after its deadline is
 // removed, because its report must have been lost.
 constexpr base::Duration kReportGraceTime = std::chrono::milliseconds(400);
@@ -144,9 +148,10 @@
   attempt.must_succeed = MustSucceed(slot_request);
   attempt.fingerprint = slot_request.fingerprint;
   attempt.granted_at = now;
-  attempt.stalls_at = now + stall_time;
   attempt.retry_at =
       now + StallTime(shard_state, upstream, slot_request, kRetryFactor, now);
+  attempt.stalls_at =
+      std::max(now + stall_time, attempt.retry_at + kStillRunningMargin);
   attempt.expires_at =
       now + slot_request.until_deadline - waited + kReportGraceTime;
   dispatcher.running_attempts[{daemon, slot_request.attempt_id}] = attempt;
@@ -258,7 +263,15 @@
       continue;
     }
     ShardState& shard_state = shard->second;
-    if (attempt.expires_at <= now) {
+    // A daemon that waits for a response has reported that by now. One that has
+    // not is gone, and its silence says nothing about the upstream.
+    const bool is_abandoned = attempt.stalls_at <= now &&
+                              !attempt.stall_counted &&
+                              !attempt.is_still_running;
+    if (is_abandoned)
+      CountUnserved(shard_state.loss_stats,
+                    UnservedWeight(attempt.must_succeed), now);
+    if (is_abandoned || attempt.expires_at <= now) {
       ReleaseSlot(shard_state, attempt);
       item = dispatcher.running_attempts.erase(item);
       continue;
@@ -377,6 +390,10 @@
   if (found == dispatcher.running_attempts.end() ||
       found->second.upstream != report.upstream)
     return actions;
+  if (report.outcome == Outcome::kStillRunning) {
+    found->second.is_still_running = true;
+    return actions;
+  }
   const RunningAttempt attempt = found->second;
   dispatcher.running_attempts.erase(found);
   const auto shard = dispatcher.shards.find(attempt.shard);
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -122,6 +122,9 @@
   kStalled,
   // The caller disconnected before the outcome of the attempt was known.
   kCancelled,
+  // The attempt has not ended. The daemon is alive and still waits for the
+  // response after the time at which a repeatable request is retried.
+  kStillRunning,
 };
 
 // Load that an upstream reports in its responses.
@@ -132,7 +135,8 @@
 };
 
 // The requesting daemon reports how a granted attempt ended. One report is sent
-// for every grant. On the wire this is FleetReport.
+// for every grant, and one before it with kStillRunning if the response takes
+// long. On the wire this is FleetReport.
 struct AttemptReport {
   AttemptId attempt_id;
   base::UpstreamId upstream;
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -351,6 +351,7 @@
       break;
     case Outcome::kUnused:
     case Outcome::kCancelled:
+    case Outcome::kStillRunning:
       break;
   }
   SuspendIfUnhealthy(upstream, now, actions);
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -28,6 +28,8 @@
   base::TimePoint stalls_at{};
   // The attempt is removed after this time in case its report was lost.
   base::TimePoint expires_at{};
+  // The daemon has reported that it still waits for the response.
+  bool is_still_running = false;
   // The attempt has been counted as stalled.
   bool stall_counted = false;
 };
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -163,13 +163,20 @@
               kDefaultRetryAfter, actions);
 }
 
-// Requests a slot at another upstream when the current one takes too long. A
-// non-repeatable request continues to wait for its response.
+// Tells the dispatcher that the current attempt takes long, and requests a slot
+// at another upstream. A non-repeatable request continues to wait for its
+// response.
 void OnStall(Request& request,
              const Context& context,
              base::TimePoint now,
              Actions& actions) {
   request.stall_handled = true;
+  dispatch::AttemptReport report;
+  report.attempt_id = request.attempt->id;
+  report.upstream = request.attempt->upstream;
+  report.outcome = Outcome::kStillRunning;
+  report.duration = now - request.attempt->started_at;
+  actions.push_back(SendAttemptReport{request.attempt->dispatcher, report});
   const bool has_time_left = request.arrival.deadline - now >= kMinRetryTime;
   if (!request.arrival.work_class.repeatable || !has_time_left ||
       request.sends >= request.arrival.max_attempts)
@@ -378,8 +385,7 @@
   if (request.phase == Phase::kEnded)
     return base::TimePoint::max();
   base::TimePoint timer_at = request.arrival.deadline;
-  if (request.attempt && !request.stall_handled &&
-      request.arrival.work_class.repeatable)
+  if (request.attempt && !request.stall_handled)
     timer_at = std::min(timer_at, request.attempt->retry_at);
   if (HasOpenSlotRequest(request))
     timer_at = std::min(timer_at, request.slot_request_repeat_at);
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -393,4 +393,22 @@
   BOOST_TEST(grant->upstream.value != "u0");
 }
 
+// Guards against healthy upstreams that are suspended, and slots that stay in
+// use, because most gateways have lost power with requests in progress.
+BOOST_AUTO_TEST_CASE(AttemptsOfDeadDaemonsShowNothingAboutUpstreams) {
+  Fixture fixture(8, 3);
+  fixture.ServeRequests(60);
+  for (int i = 0; i < 24; ++i)
+    BOOST_REQUIRE(fixture.RequestSlot("d" + std::to_string(i),
+                                      fixture.MakeSlotRequest(false)));
+  fixture.KillDaemons();
+  fixture.Advance(seconds(1));
+  for (const auto& [id, upstream] :
+       fixture.dispatcher.shards.at({kService}).upstreams) {
+    BOOST_TEST((upstream.health_status == HealthStatus::kHealthy));
+    BOOST_TEST(upstream.stalled_count == 0U);
+    BOOST_TEST(upstream.running_count == 0U);
+  }
+}
+
 }  // namespace poplarfork::dispatch
--- a/tests/dispatch/service_model.h
+++ b/tests/dispatch/service_model.h
@@ -74,6 +74,7 @@
     base::TimePoint ends_at;
     base::TimePoint granted_at;
     Outcome outcome = Outcome::kServed;
+    bool reported_running = false;
   };
 
   bool IsFaulty(const ModelUpstream& upstream) const {
@@ -229,6 +230,14 @@
     });
     for (const ModelAttempt& attempt : ended)
       this->EndAttempt(attempt);
+    for (ModelAttempt& attempt : this->running) {
+      if (attempt.reported_running ||
+          attempt.granted_at + attempt.grant.retry_after > this->fixture.now)
+        continue;
+      attempt.reported_running = true;
+      this->fixture.EndAttempt(attempt.request.daemon, attempt.grant,
+                               Outcome::kStillRunning);
+    }
     const double mean_s =
         static_cast<double>(this->options.mean_duration.count()) / 1e6;
     this->due_arrivals += this->options.load * this->options.upstreams *
