Hand over what a dispatcher knows to the next in rank

Cause: with a dispatcher died what it had learned.

Change: handover_func. Every 0.5 s, and when it begins to drain, a dispatcher sends a digest of each shard to the next in rank: probability of a gray failure, running attempts, durations, rest of the retry budget. The successor uses a digest of at most 3 s at its first slot request; without one it covers all upstreams for 2.5 s. A digest grants nothing; late, repeated, impossible ones and those from an earlier start of an upstream change nothing and are counted (dispatch_digests_total).

Ruled out: open attempts told by every gateway to the new dispatcher (a burst of datagrams at the worst moment); state in the store (calls).

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -67,12 +67,11 @@
   body.set_removed(record.removed);
 }
 
-// Returns the age in milliseconds, rounded up so that it is never zero.
-std::uint32_t ToReadAge(base::Duration age) {
-  constexpr std::int64_t kMaxReadAgeMs = 1'000'000'000;
+std::uint32_t ToMilliseconds(base::Duration duration) {
+  constexpr std::int64_t kMaxMilliseconds = 1'000'000'000;
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1, 1,
-      kMaxReadAgeMs));
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(),
+      0, kMaxMilliseconds));
 }
 
 void EncodeBody(FleetDatagram& out,
@@ -96,7 +95,9 @@
   body.set_more(update.more);
   body.set_since(update.since.value);
   if (update.read_age)
-    body.set_read_age_ms(ToReadAge(*update.read_age));
+    // Rounded up, so that it is never zero and a view never seems more current
+    // than it is.
+    body.set_read_age_ms(ToMilliseconds(*update.read_age) + 1);
 }
 
 void EncodeBody(FleetDatagram& out,
@@ -145,6 +146,34 @@
   body.set_retry_after_us(ToMicroseconds(refusal.retry_after));
 }
 
+void EncodeBody(FleetDatagram& out,
+                const dispatch::ShardDigest& digest,
+                base::TimePoint) {
+  proto::FleetDigest& body = *out.mutable_digest();
+  body.set_service(digest.shard.service.value);
+  body.set_shard(digest.shard.index);
+  body.set_shards(digest.shard.count);
+  body.set_sequence(digest.sequence);
+  body.set_retry_tokens(digest.retry_tokens);
+  body.set_request_rate(digest.request_rate);
+  for (const dispatch::UpstreamDigest& upstream : digest.upstreams) {
+    proto::FleetDigest::Upstream& entry = *body.add_upstreams();
+    entry.set_id(upstream.id.value);
+    entry.set_incarnation(upstream.incarnation.value);
+    entry.set_fault_probability(static_cast<float>(upstream.fault_probability));
+    entry.set_suspended(upstream.suspended);
+    entry.set_running(upstream.running_count);
+    entry.set_slowness(static_cast<float>(upstream.slowness));
+    entry.set_uncovered_ms(ToMilliseconds(upstream.uncovered_for));
+  }
+  for (const dispatch::DurationDigest& duration : digest.durations) {
+    proto::FleetDigest::Duration& entry = *body.add_durations();
+    entry.set_repeatable(duration.repeatable);
+    entry.set_priority(duration.priority);
+    entry.set_mean_us(ToMicroseconds(duration.mean_duration));
+  }
+}
+
 void EncodeBody(FleetDatagram& out,
                 const dispatch::AttemptReport& report,
                 base::TimePoint) {
@@ -290,6 +319,27 @@
   return Message(report);
 }
 
+Message DecodeBody(const proto::FleetDigest& body) {
+  dispatch::ShardDigest digest;
+  digest.shard = {{body.service()}, body.shard(), std::max(body.shards(), 1U)};
+  digest.sequence = body.sequence();
+  digest.retry_tokens = body.retry_tokens();
+  digest.request_rate = body.request_rate();
+  for (const proto::FleetDigest::Upstream& upstream : body.upstreams())
+    digest.upstreams.push_back(
+        {{upstream.id()},
+         {upstream.incarnation()},
+         upstream.fault_probability(),
+         upstream.suspended(),
+         upstream.running(),
+         upstream.slowness(),
+         std::chrono::milliseconds(upstream.uncovered_ms())});
+  for (const proto::FleetDigest::Duration& duration : body.durations())
+    digest.durations.push_back({duration.repeatable(), duration.priority(),
+                                ToDuration(duration.mean_us())});
+  return digest;
+}
+
 }  // namespace
 
 void Encode(const Message& message, base::TimePoint now, std::string& bytes) {
@@ -320,6 +370,8 @@
       return DecodeBody(in.report());
     case FleetDatagram::kWithdrawal:
       return Message(dispatch::Withdrawal{{in.withdrawal().attempt()}});
+    case FleetDatagram::kDigest:
+      return DecodeBody(in.digest());
     case FleetDatagram::BODY_NOT_SET:
       break;
   }
--- a/src/datagram/message_type.h
+++ b/src/datagram/message_type.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "dispatch/handover_type.h"
 #include "dispatch/message_type.h"
 #include "fleet/member_type.h"
 #include "fleet/upstream_entry_type.h"
@@ -63,6 +64,7 @@
                              dispatch::QueuedNotice,
                              dispatch::Refusal,
                              dispatch::AttemptReport,
-                             dispatch::Withdrawal>;
+                             dispatch::Withdrawal,
+                             dispatch::ShardDigest>;
 
 }  // namespace poplarfork::datagram
--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -163,4 +163,15 @@
   shard_state.retry_budget.request_rate += 1 / kRateSmoothingSeconds;
 }
 
+void InheritRetryBudget(const Settings& settings,
+                        ShardState& shard_state,
+                        double tokens,
+                        double request_rate,
+                        base::TimePoint now) {
+  RefillRetryBudget(settings, shard_state, now);
+  RetryBudget& budget = shard_state.retry_budget;
+  budget.tokens = std::min(budget.tokens, tokens);
+  budget.request_rate = std::max(budget.request_rate, request_rate);
+}
+
 }  // namespace poplarfork::dispatch
--- a/src/dispatch/admission_func.h
+++ b/src/dispatch/admission_func.h
@@ -39,4 +39,11 @@
                        ShardState& shard_state,
                        base::TimePoint now);
 
+// Continues the retry budget of a previous dispatcher, which had `tokens` left.
+void InheritRetryBudget(const Settings& settings,
+                        ShardState& shard_state,
+                        double tokens,
+                        double request_rate,
+                        base::TimePoint now);
+
 }  // namespace poplarfork::dispatch
--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -29,6 +29,10 @@
 // requests is not a large share.
 constexpr double kPriorRequests = 5;
 
+// Time after which a dispatcher without knowledge has seen enough outcomes,
+// those of requests that hang included.
+constexpr base::Duration kUnknownLossTime = std::chrono::milliseconds(2500);
+
 double DecayFactor(const LossStats& loss_stats, base::TimePoint now) {
   const double age = static_cast<double>((now - loss_stats.decayed_at).count());
   return std::exp2(-age / static_cast<double>(kLossHalfLife.count()));
@@ -62,7 +66,13 @@
   loss_stats.unserved += weight;
 }
 
+void AssumeLossy(LossStats& loss_stats, base::TimePoint now) {
+  loss_stats.unknown_until = now + kUnknownLossTime;
+}
+
 bool IsLossy(const LossStats& loss_stats, base::TimePoint now) {
+  if (now < loss_stats.unknown_until)
+    return true;
   const double factor = DecayFactor(loss_stats, now);
   const double placed = factor * loss_stats.placed + kPriorRequests;
   return factor * loss_stats.unserved > kLossyShare * placed;
--- a/src/dispatch/coverage_func.h
+++ b/src/dispatch/coverage_func.h
@@ -25,6 +25,10 @@
 // probability of that.
 void CountUnserved(LossStats& loss_stats, double weight, base::TimePoint now);
 
+// Assumes for some time that many requests fail. A dispatcher that takes over
+// without knowledge would find out too late.
+void AssumeLossy(LossStats& loss_stats, base::TimePoint now);
+
 // Tells whether so many requests fail that all upstreams must be covered.
 bool IsLossy(const LossStats& loss_stats, base::TimePoint now);
 
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -7,6 +7,7 @@
 #include "dispatch/admission_func.h"
 #include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
+#include "dispatch/handover_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/placement_func.h"
 #include "dispatch/shard_state_func.h"
@@ -334,6 +335,7 @@
     return actions;
   }
   ShardState& shard_state = *found;
+  TakeUpShard(dispatcher, RequestedShard(slot_request), shard_state, now);
   shard_state.last_slot_request_at = now;
   if (RepeatReply(dispatcher, daemon, slot_request, shard_state, actions))
     return actions;
@@ -475,6 +477,7 @@
   CheckRunningAttempts(dispatcher, now, actions);
   ExpireCrashRecords(dispatcher, now);
   ExpireShards(dispatcher, now);
+  ExpireDigests(dispatcher, now);
   for (auto& [shard, shard_state] : dispatcher.shards) {
     if (!IsActive(shard_state, now))
       continue;
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/time_type.h"
+#include "dispatch/handover_type.h"
 #include "dispatch/message_type.h"
 #include "dispatch/settings_type.h"
 #include "dispatch/upstream_state_type.h"
@@ -68,6 +69,8 @@
   double placed = 0;
   double unserved = 0;
   base::TimePoint decayed_at{};
+  // Until then, many requests are assumed to fail because nothing is known.
+  base::TimePoint unknown_until{};
 };
 
 // State of one service, or of one shard of a service, at its dispatcher.
@@ -97,6 +100,9 @@
   std::map<AttemptKey, RunningAttempt> running_attempts;
   std::unordered_map<Fingerprint, CrashRecord> crashes;
   std::map<base::DaemonId, DaemonState> daemons;
+  // Digests of shards for which this daemon is the next in rank.
+  std::map<fleet::Shard, ReceivedDigest> digests;
+  std::uint64_t digest_sequence = 0;
   // The daemon has received a list of upstreams.
   bool ready = false;
 };
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -5,6 +5,8 @@
 
 #include "clock/now_func.h"
 #include "dispatch/dispatcher_func.h"
+#include "dispatch/handover_func.h"
+#include "fleet/shard_func.h"
 #include "fleet/view_func.h"
 #include "gateway/log_func.h"
 #include "gateway/peer_driver.h"
@@ -22,6 +24,10 @@
 constexpr base::Duration kProbeTimeout = std::chrono::milliseconds(600);
 constexpr std::size_t kMaxProbeResponseBytes = 64 * 1024;
 
+// Interval at which a dispatcher sends digests. A request takes about as long,
+// so a digest misses the outcomes of few requests.
+constexpr base::Duration kDigestInterval = std::chrono::milliseconds(500);
+
 void ExecuteActions(Gateway& gateway, const dispatch::Actions& actions);
 
 // Arms the timer of the dispatcher if the dispatcher has work that depends on
@@ -37,6 +43,8 @@
         if (error)
           return;
         gateway.dispatch_timer_armed = false;
+        if (clock::Now() - gateway.digests_sent_at >= kDigestInterval)
+          SendDigests(gateway);
         ExecuteActions(gateway, dispatch::OnTick(gateway.dispatcher,
                                                  clock::Now(), gateway.rng));
       });
@@ -148,6 +156,34 @@
                                                     clock::Now(), gateway.rng));
 }
 
+void OnDigestMessage(Gateway& gateway,
+                     const base::DaemonId& from,
+                     const dispatch::ShardDigest& digest) {
+  const bool stored =
+      dispatch::OnDigest(gateway.dispatcher, from, digest, clock::Now());
+  metrics::IncrementCounter(
+      gateway.metrics, stored ? "dispatch_digests_total{result=\"stored\"}"
+                              : "dispatch_digests_total{result=\"ignored\"}");
+}
+
+void SendDigests(Gateway& gateway) {
+  const base::TimePoint now = clock::Now();
+  gateway.digests_sent_at = now;
+  for (const auto& [shard, shard_state] : gateway.dispatcher.shards) {
+    const std::optional<dispatch::ShardDigest> digest =
+        dispatch::MakeDigest(gateway.dispatcher, shard, now);
+    if (!digest)
+      continue;
+    for (const base::DaemonId& member : fleet::RankMembers(
+             gateway.view, fleet::DispatcherKey(shard), 2, now)) {
+      if (member == gateway.view.self)
+        continue;
+      SendToDaemon(gateway, member, *digest);
+      break;
+    }
+  }
+}
+
 void OnWithdrawalMessage(Gateway& gateway,
                          const base::DaemonId& from,
                          const dispatch::Withdrawal& withdrawal) {
--- a/src/gateway/dispatch_driver.h
+++ b/src/gateway/dispatch_driver.h
@@ -23,4 +23,14 @@
                          const fleet::UpstreamRecord& record,
                          const char* source);
 
+// Handles a digest from the dispatcher of a shard for which this daemon is the
+// next in rank.
+void OnDigestMessage(Gateway& gateway,
+                     const base::DaemonId& from,
+                     const dispatch::ShardDigest& digest);
+
+// Sends a digest of each shard that this daemon dispatches for to the daemon
+// that would take over.
+void SendDigests(Gateway& gateway);
+
 }  // namespace poplarfork::gateway
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -128,6 +128,8 @@
   base::TimePoint request_timer_expiry = base::TimePoint::max();
   boost::asio::steady_timer dispatch_timer;
   bool dispatch_timer_armed = false;
+  // When this daemon last sent digests as a dispatcher.
+  base::TimePoint digests_sent_at{};
   boost::asio::steady_timer hello_timer;
   boost::asio::steady_timer store_timer;
   boost::asio::steady_timer configuration_timer;
--- a/src/gateway/peer_driver.cc
+++ b/src/gateway/peer_driver.cc
@@ -142,6 +142,9 @@
   void operator()(const dispatch::Withdrawal& withdrawal) const {
     OnWithdrawalMessage(this->gateway, this->from, withdrawal);
   }
+  void operator()(const dispatch::ShardDigest& digest) const {
+    OnDigestMessage(this->gateway, this->from, digest);
+  }
   void operator()(const dispatch::Grant& grant) const {
     OnGrant(this->gateway, this->from, grant);
   }
--- a/src/gateway/shutdown.cc
+++ b/src/gateway/shutdown.cc
@@ -1,6 +1,7 @@
 #include "gateway/shutdown.h"
 
 #include "clock/now_func.h"
+#include "gateway/dispatch_driver.h"
 #include "gateway/log_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/registration.h"
@@ -71,6 +72,7 @@
   if (self != gateway.view.members.end())
     self->second.accepting = false;
   SendHellosToReaders(gateway);
+  SendDigests(gateway);
   Unregister(gateway);
   gateway.front_server->CloseAfterResponses();
   StopWhenDrained(gateway);
--- a/tests/datagram/codec_test.cc
+++ b/tests/datagram/codec_test.cc
@@ -82,6 +82,31 @@
   BOOST_TEST((*decoded_update.read_age >= milliseconds(350)));
   BOOST_TEST((*decoded_update.read_age <= milliseconds(352)));
   BOOST_TEST(!EncodeAndDecode(ViewUpdate{}).read_age);
+
+  dispatch::ShardDigest digest;
+  digest.shard = {{"orders"}, 3, 8};
+  digest.sequence = 5;
+  digest.retry_tokens = 2.5;
+  digest.request_rate = 80;
+  digest.upstreams = {{{"u1"}, {77}, 0.25, true, 2, 1.5, milliseconds(400)}};
+  digest.durations = {{true, 2, milliseconds(260)}};
+  const dispatch::ShardDigest decoded_digest = EncodeAndDecode(digest);
+  BOOST_TEST((decoded_digest.shard == digest.shard));
+  BOOST_TEST(decoded_digest.sequence == 5U);
+  BOOST_TEST(decoded_digest.retry_tokens == 2.5);
+  BOOST_TEST(decoded_digest.request_rate == 80);
+  BOOST_REQUIRE(decoded_digest.upstreams.size() == 1U);
+  const dispatch::UpstreamDigest& upstream = decoded_digest.upstreams[0];
+  BOOST_TEST((upstream.id == base::UpstreamId{"u1"}));
+  BOOST_TEST((upstream.incarnation == base::Incarnation{77}));
+  BOOST_TEST(upstream.fault_probability == 0.25);
+  BOOST_TEST(upstream.suspended);
+  BOOST_TEST(upstream.running_count == 2U);
+  BOOST_TEST(upstream.slowness == 1.5);
+  BOOST_TEST((upstream.uncovered_for == milliseconds(400)));
+  BOOST_REQUIRE(decoded_digest.durations.size() == 1U);
+  BOOST_TEST((decoded_digest.durations[0].mean_duration == milliseconds(260)));
+
   // Points in time are encoded as the time left until them.
   BOOST_TEST((decoded_update.upstreams[0].entry.cold_until ==
               kReceiveTime + milliseconds(1500)));
