Bound responses without end by their size

The parser's limits cover the header and the body only: what it does not parse yet (chunk sizes, extensions, trailer lines) was buffered without a limit of ours, interim responses were read until the deadline, and a 103 was taken for the final response, since Beast 1.74 does not know that status (found by the new test).

Change: at most 128 KiB unparsed, 16 interim responses, any 1xx is one, and 64 MiB of bodies at the same time a pool.

Tests: tests/upstream/endless_test.cc, eleven endless responses.

--- a/src/upstream/exchange.cc
+++ b/src/upstream/exchange.cc
@@ -23,6 +23,14 @@
 
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 
+// Upper limit of the bytes that are read but not parsed yet. It exceeds the
+// limit of the header, and limits what the parser does not: chunk sizes, chunk
+// extensions and trailers.
+constexpr std::size_t kMaxReadBufferBytes = 128 * 1024;
+
+// Upper limit of the informational responses before the final one.
+constexpr unsigned kMaxInterimResponses = 16;
+
 // A connection is reused only within half of the idle timeout that the upstream
 // announces. A request sent later may meet a close that the upstream has
 // already sent.
@@ -51,6 +59,12 @@
                &milliseconds, sizeof(milliseconds));
 }
 
+// The status class of Beast is not used, because it does not know all
+// informational statuses and would take such a response for the final one.
+bool IsInformational(unsigned status) {
+  return status >= 100 && status < 200;
+}
+
 bool IsKernelTimeout(const error_code& error) {
   return error == asio::error::timed_out;
 }
@@ -93,7 +107,10 @@
   error_code error;
   const auto endpoint = ParseEndpoint(this->address, error);
   this->connection = std::make_unique<Connection>(
-      Connection{asio::ip::tcp::socket(this->loop), {}, 0, {}});
+      Connection{asio::ip::tcp::socket(this->loop),
+                 boost::beast::flat_buffer(kMaxReadBufferBytes),
+                 0,
+                 {}});
   auto self = this->shared_from_this();
   if (error) {
     asio::post(this->loop, [self, error] { self->Finish(error); });
@@ -164,9 +181,11 @@
     this->Finish(error);
     return;
   }
-  if (http::to_status_class(this->parser->get().result()) ==
-      http::status_class::informational) {
-    this->ReadHeader();
+  if (IsInformational(this->parser->get().result_int())) {
+    if (++this->interim_responses > kMaxInterimResponses)
+      this->Finish(http::error::header_limit);
+    else
+      this->ReadHeader();
     return;
   }
   this->end.progress = Progress::kHeaderReceived;
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -90,6 +90,7 @@
   std::uint64_t pool_generation = 0;
   std::uint64_t timer_generation = 0;
   ExchangeEnd end;
+  unsigned interim_responses = 0;
   bool is_counted_in_use = false;
   bool is_finished = false;
 };
--- a/src/upstream/pool_type.h
+++ b/src/upstream/pool_type.h
@@ -35,12 +35,17 @@
   base::Duration connect_timeout = std::chrono::seconds(1);
   base::Duration silence_timeout = std::chrono::seconds(3);
   base::Duration idle_timeout = std::chrono::seconds(30);
+  // Upper limit of the response bodies that are buffered at the same time. The
+  // smallest VMs have 160 MB.
+  std::size_t max_buffered_bytes = 64UL * 1024 * 1024;
 };
 
 // The connections to all upstreams, by address ("IP:port").
 struct Pool {
   PoolLimits limits;
   std::map<std::string, AddressPool, std::less<>> address_pools;
+  // Size of the response bodies that are being buffered.
+  std::size_t buffered_bytes = 0;
 };
 
 }  // namespace poplarfork::upstream
--- a/src/upstream/whole_call.cc
+++ b/src/upstream/whole_call.cc
@@ -10,6 +10,7 @@
 struct CallState {
   BufferedResponse response;
   std::size_t max_body_bytes = 0;
+  Pool* pool = nullptr;
   std::function<void(BufferedResponse)> on_end;
   // The exchange owns this state through its handlers, and the handlers run
   // only while the exchange exists. A shared pointer back to the exchange would
@@ -23,18 +24,24 @@
 }
 
 void OnBody(CallState& call, std::string_view part) {
-  if (call.response.body.size() + part.size() > call.max_body_bytes) {
+  const bool is_too_large =
+      call.response.body.size() + part.size() > call.max_body_bytes ||
+      call.pool->buffered_bytes + part.size() >
+          call.pool->limits.max_buffered_bytes;
+  if (is_too_large) {
     call.response.is_too_large = true;
     if (const auto exchange = call.exchange.lock())
       exchange->Cancel();
     return;
   }
+  call.pool->buffered_bytes += part.size();
   call.response.body.append(part);
   ResumeExchange(call);
 }
 
 void OnEnd(CallState& call, const ExchangeEnd& end) {
   call.response.end = end;
+  call.pool->buffered_bytes -= call.response.body.size();
   auto on_end = std::move(call.on_end);
   on_end(std::move(call.response));
 }
@@ -49,6 +56,7 @@
     std::function<void(BufferedResponse)> on_end) {
   auto call = std::make_shared<CallState>();
   call->max_body_bytes = options.max_body_bytes;
+  call->pool = &pool;
   call->on_end = std::move(on_end);
   ExchangeHandlers handlers;
   handlers.on_header = [call](const HttpHeader& header) {
--- /dev/null
+++ b/tests/upstream/endless_test.cc
@@ -0,0 +1,142 @@
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "clock/now_func.h"
+#include "tests/support/endless_upstream.h"
+#include "upstream/whole_call.h"
+
+namespace poplarfork::upstream {
+
+namespace {
+
+using support::EndlessUpstream;
+
+constexpr std::size_t kMaxBodyBytes = 256 * 1024;
+
+// Bytes that an endless response may bring before its connection is closed: the
+// limits of the header, the body and the read buffer, and what the kernel
+// buffers of a connection over the loopback interface take.
+constexpr std::size_t kMaxReceivedBytes = 8 * 1024 * 1024;
+
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+struct EndlessCase {
+  std::string name;
+  std::string prefix;
+  std::string piece;
+};
+
+const std::vector<EndlessCase> kEndlessCases = {
+    {"status line", "HTTP/1.1 200 ", "OK"},
+    {"bytes without a line end", "", "x"},
+    {"header line", "HTTP/1.1 200 OK\r\nX-Field: ", "y"},
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X-Field: y\r\n"},
+    {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    {"chunk size", kChunkedHead, "0"},
+    {"chunk extension", kChunkedHead + "5;", "extension"},
+    {"trailers", kChunkedHead + "5\r\nhello\r\n0\r\n", "X-Field: y\r\n"},
+    {"trailer line", kChunkedHead + "5\r\nhello\r\n0\r\nX-Field: ", "y"},
+    {"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "body"},
+    {"chunks", kChunkedHead, "4\r\nbody\r\n"},
+};
+
+struct CallFixture {
+  BufferedResponse Call(const std::string& address, base::Duration timeout) {
+    CallOptions options;
+    options.address = address;
+    options.timeout = timeout;
+    options.max_body_bytes = kMaxBodyBytes;
+    auto request =
+        std::make_shared<HttpRequest>(boost::beast::http::verb::get, "/", 11);
+    request->set(boost::beast::http::field::host, "endless.example");
+    BufferedResponse response;
+    bool is_done = false;
+    StartCall(this->loop, this->pool, options, request,
+              [&](BufferedResponse ended) {
+                response = std::move(ended);
+                is_done = true;
+              });
+    while (!is_done)
+      this->loop.run_one();
+    return response;
+  }
+
+  boost::asio::io_context loop;
+  Pool pool;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EndlessSuite, CallFixture)
+
+// Guards against a response without end that fills the memory of a small VM, or
+// that looks complete. The deadline is far away, so each call must end by the
+// limits on sizes.
+BOOST_AUTO_TEST_CASE(EndlessResponsesEndByTheirSize) {
+  for (const EndlessCase& endless : kEndlessCases) {
+    EndlessUpstream upstream(this->loop, endless.prefix, endless.piece);
+    const BufferedResponse response =
+        this->Call(upstream.GetAddress(), std::chrono::seconds(60));
+    while (upstream.closed_connections == 0)
+      this->loop.run_one();
+    BOOST_TEST_CONTEXT(endless.name) {
+      BOOST_TEST(!response.IsComplete());
+      BOOST_TEST(upstream.sent_bytes <= kMaxReceivedBytes);
+      BOOST_TEST((response.end.error != boost::asio::error::timed_out));
+      BOOST_TEST(response.body.size() <= kMaxBodyBytes);
+      BOOST_TEST(this->pool.address_pools[upstream.GetAddress()].in_use == 0U);
+      BOOST_TEST(this->pool.address_pools[upstream.GetAddress()].idle.empty());
+    }
+  }
+}
+
+// Guards against bytes after a complete response that are taken for a part of
+// it or for the next response.
+BOOST_AUTO_TEST_CASE(BytesAfterTheResponseAreDropped) {
+  EndlessUpstream upstream(
+      this->loop, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "more");
+  for (int i = 0; i < 3; ++i) {
+    const BufferedResponse response =
+        this->Call(upstream.GetAddress(), std::chrono::seconds(60));
+    BOOST_TEST(response.IsComplete());
+    BOOST_TEST(response.body == "hello");
+    BOOST_TEST(!response.end.is_connection_reused);
+  }
+}
+
+// Guards against many endless bodies that fill the memory together although
+// each of them stays within its own limit.
+BOOST_AUTO_TEST_CASE(BodiesOfAllResponsesAreLimited) {
+  constexpr int kCalls = 8;
+  this->pool.limits.max_buffered_bytes = 3 * kMaxBodyBytes;
+  EndlessUpstream upstream(this->loop, "HTTP/1.1 200 OK\r\n\r\n", "body");
+  int ended = 0;
+  std::size_t most_buffered = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    CallOptions options;
+    options.address = upstream.GetAddress();
+    options.timeout = std::chrono::seconds(60);
+    options.max_body_bytes = kMaxBodyBytes;
+    auto request =
+        std::make_shared<HttpRequest>(boost::beast::http::verb::get, "/", 11);
+    StartCall(this->loop, this->pool, options, request,
+              [&](const BufferedResponse& response) {
+                BOOST_TEST(!response.IsComplete());
+                BOOST_TEST(response.is_too_large);
+                ++ended;
+              });
+  }
+  while (ended < kCalls) {
+    this->loop.run_one();
+    most_buffered = std::max(most_buffered, this->pool.buffered_bytes);
+  }
+  BOOST_TEST(most_buffered <= this->pool.limits.max_buffered_bytes);
+  BOOST_TEST(this->pool.buffered_bytes == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace poplarfork::upstream
