List the store with one call

Besides, a page without a readable item but with more pages ended a listing as complete, which removes what the others name.

Change: one listing with an empty prefix; such a page fails the listing.

Tests: FreshGatewaysReadTheStoreWithOneCall, ListingsDoNotEndAtAnUnreadablePage.

--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -237,25 +237,23 @@
   ScheduleReadRound(gateway, RandomStoreRetryDelay(gateway));
 }
 
-// Applies the complete lists of upstreams and members, and removes everything
-// from the view that they do not contain.
-void ApplyListings(Gateway& gateway,
-                   const Listing& upstreams,
-                   const Listing& members) {
+// Applies the complete list of what the store holds, and removes the upstreams
+// and members from the view that it does not contain.
+void ApplyListing(Gateway& gateway, const Listing& listing) {
   const base::TimePoint now = clock::Now();
   Changes changes;
   std::set<base::UpstreamId> listed_upstreams;
   std::set<base::DaemonId> listed_members{gateway.view.self};
-  for (const StoreItem& item : upstreams.items) {
-    listed_upstreams.insert(
-        {NameAfterPrefix(item, platform::kUpstreamKeyPrefix)});
+  for (const StoreItem& item : listing.items) {
+    if (HasKeyPrefix(item, platform::kUpstreamKeyPrefix))
+      listed_upstreams.insert(
+          {NameAfterPrefix(item, platform::kUpstreamKeyPrefix)});
+    else if (HasKeyPrefix(item, platform::kMemberKeyPrefix))
+      listed_members.insert(
+          {NameAfterPrefix(item, platform::kMemberKeyPrefix)});
     ApplyItem(gateway, item, changes);
   }
-  for (const StoreItem& item : members.items) {
-    listed_members.insert({NameAfterPrefix(item, platform::kMemberKeyPrefix)});
-    ApplyItem(gateway, item, changes);
-  }
-  const fleet::StoreRevision as_of = upstreams.as_of;
+  const fleet::StoreRevision as_of = listing.as_of;
   const fleet::AbsentRecords absent = fleet::FindAbsentRecords(
       gateway.view, listed_upstreams, listed_members, as_of, now);
   for (const fleet::UpstreamRecord& record : absent.upstreams) {
@@ -278,34 +276,24 @@
   AnnounceChanges(gateway, changes);
 }
 
-// Reads all upstreams and members, then the configuration.
-void ListUpstreamsAndMembers(Gateway& gateway) {
-  ListStoreItems(
-      gateway, platform::kUpstreamKeyPrefix,
-      [&gateway](const Listing* upstreams) {
-        if (!upstreams) {
-          RetryReadRound(gateway);
-          return;
-        }
-        ListStoreItems(
-            gateway, platform::kMemberKeyPrefix,
-            [&gateway, upstream_listing = *upstreams](const Listing* members) {
-              if (!members) {
-                RetryReadRound(gateway);
-                return;
-              }
-              ApplyListings(gateway, upstream_listing, *members);
-              ReadConfigurationFromStore(gateway);
-              ScheduleReadRound(gateway, kReadRoundInterval);
-            });
-      });
+// Reads everything that the store holds: upstreams, members and the
+// configuration. One prefix for all of them takes the fewest calls.
+void ListStore(Gateway& gateway) {
+  ListStoreItems(gateway, "", [&gateway](const Listing* listing) {
+    if (!listing) {
+      RetryReadRound(gateway);
+      return;
+    }
+    ApplyListing(gateway, *listing);
+    ScheduleReadRound(gateway, kReadRoundInterval);
+  });
 }
 
 void OnWatchResponse(Gateway& gateway, const StoreResponse& response) {
   if (response.status == 410) {
     Log(gateway, "store_history_lost",
         {{"known_to_revision", gateway.view.as_of.value}});
-    ListUpstreamsAndMembers(gateway);
+    ListStore(gateway);
     return;
   }
   auto parsed_changes = platform::ParseChanges(response.body);
@@ -349,7 +337,7 @@
   gateway.store.is_reading = true;
   gateway.store.read_round_started_at = now;
   if (gateway.view.as_of.value == 0) {
-    ListUpstreamsAndMembers(gateway);
+    ListStore(gateway);
     return;
   }
   // The lists may have come from another daemon that has no configuration, in
--- a/src/gateway/store_listing.cc
+++ b/src/gateway/store_listing.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <utility>
 
+#include "gateway/log_func.h"
 #include "gateway/store_call.h"
 #include "platform/store_func.h"
 
@@ -37,10 +38,19 @@
   const std::size_t previous_count = listing.items.size();
   for (platform::StoreItem& item : page.value().items)
     listing.items.push_back(std::move(item));
-  if (page.value().has_more_pages && listing.items.size() > previous_count)
-    RequestPage(gateway, progress);
-  else
+  if (!page.value().has_more_pages) {
     progress->on_end(&listing);
+    return;
+  }
+  // Without a readable item it is not known where the next page begins. A
+  // listing that ended here would remove what the other pages name.
+  if (listing.items.size() == previous_count) {
+    Log(gateway, "store_answer_unreadable",
+        {{"call", "list"}, {"error", "a page without a readable item"}});
+    progress->on_end(nullptr);
+    return;
+  }
+  RequestPage(gateway, progress);
 }
 
 void RequestPage(Gateway& gateway, const ListingInProgressPtr& progress) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -9,7 +9,9 @@
 #include "fleet/view_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/shutdown.h"
+#include "gateway/store_listing.h"
 #include "tests/gateway/fleet_fixture.h"
+#include "tests/support/scripted_upstream.h"
 
 namespace poplarfork::gateway {
 
@@ -336,6 +338,41 @@
   BOOST_TEST(!this->second->view.members.at(this->first->view.self).removed);
 }
 
+// Guards against starts that cost several reads of the store each: all gateways
+// may start at the same time.
+BOOST_AUTO_TEST_CASE(FreshGatewaysReadTheStoreWithOneCall) {
+  FleetFixture fleet;
+  fleet.WriteConfiguration(1);
+  fleet.AddUpstream("u1");
+  Gateway& gateway = fleet.AddGateway();
+  BOOST_REQUIRE(fleet.RunUntil(
+      [&] { return IsAccepting(gateway) && gateway.store.registered; }));
+  BOOST_TEST(fleet.store->call_counts["/kv-range"] == 1U);
+  BOOST_TEST(fleet.store->call_counts["/kv-key"] == 0U);
+}
+
+// Guards against a listing that ends at a page without a readable item: what
+// the later pages name would be removed.
+BOOST_AUTO_TEST_CASE(ListingsDoNotEndAtAnUnreadablePage) {
+  FleetFixture fleet;
+  Gateway& gateway = fleet.AddGateway();
+  const std::string page = R"({"items":[],"asOf":5,"morePages":true})";
+  support::ScriptedUpstream store(
+      fleet.loop, [&page](support::ScriptedConnection&) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(page.size()) + "\r\n\r\n" + page;
+      });
+  gateway.settings.store_address = store.GetAddress();
+  bool ended = false;
+  bool complete = true;
+  ListStoreItems(gateway, "", [&](const Listing* listing) {
+    ended = true;
+    complete = listing != nullptr;
+  });
+  BOOST_REQUIRE(fleet.RunUntil([&] { return ended; }));
+  BOOST_TEST(!complete);
+}
+
 // Guards against a daemon that cannot reach the store and does not learn the
 // changes that the other daemons learn.
 BOOST_AUTO_TEST_CASE(DaemonsWithoutStoreLearnFromOthers) {
