Check grants against the deadline and count suspended time

Cause: a paused process could receive a grant, or act on it, after the request's deadline, and sent the work on. The clock did not count the time for which a VM is suspended.

Change: such a grant is returned unused and the request ends; the clock is CLOCK_BOOTTIME.

Tests: GrantsAfterTheDeadlineAreNotUsed.

--- a/src/clock/now_func.cc
+++ b/src/clock/now_func.cc
@@ -1,13 +1,19 @@
 #include "clock/now_func.h"
 
+#include <ctime>
+
 #include <chrono>
 
 namespace poplarfork::clock {
 
 base::TimePoint Now() {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return base::TimePoint(
-      std::chrono::duration_cast<base::Duration>(since_start));
+  // Unlike CLOCK_MONOTONIC, this clock also counts the time for which the VM
+  // was suspended. Deadlines, leases and grants run out meanwhile.
+  std::timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return base::TimePoint(std::chrono::duration_cast<base::Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 }  // namespace poplarfork::clock
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -149,6 +149,16 @@
          request.phase == Phase::kRunningAndRequestingSlot;
 }
 
+// Returns a grant's slot to the dispatcher.
+void ReportUnused(const base::DaemonId& from,
+                  const dispatch::Grant& grant,
+                  Actions& actions) {
+  dispatch::AttemptReport unused;
+  unused.attempt_id = grant.attempt_id;
+  unused.upstream = grant.upstream;
+  actions.push_back(SendAttemptReport{from, unused});
+}
+
 void OnDeadline(Request& request, base::TimePoint now, Actions& actions) {
   if (HasOpenSlotRequest(request))
     WithdrawSlotRequest(request, actions);
@@ -231,12 +241,15 @@
     // as unused, so that its slot is freed.
     const bool in_use =
         request.attempt && request.attempt->id == grant.attempt_id;
-    if (!in_use) {
-      dispatch::AttemptReport unused;
-      unused.attempt_id = grant.attempt_id;
-      unused.upstream = grant.upstream;
-      actions.push_back(SendAttemptReport{from, unused});
-    }
+    if (!in_use)
+      ReportUnused(from, grant, actions);
+    return actions;
+  }
+  if (request.arrival.deadline <= now) {
+    // A paused process may receive the grant, or act on it, after the request's
+    // deadline. The upstream must not be sent work that nobody waits for.
+    ReportUnused(from, grant, actions);
+    OnDeadline(request, now, actions);
     return actions;
   }
   if (request.attempt) {
--- a/tests/request/request_test.cc
+++ b/tests/request/request_test.cc
@@ -285,4 +285,22 @@
   }
 }
 
+// Guards against a process that was paused and then sends work on a grant whose
+// time has run out meanwhile.
+BOOST_AUTO_TEST_CASE(GrantsAfterTheDeadlineAreNotUsed) {
+  for (const bool repeatable : {false, true}) {
+    RequestFixture fixture(repeatable);
+    fixture.now += seconds(5);
+    fixture.GrantSlot("u1");
+    BOOST_TEST(!fixture.FindAction<StartAttempt>());
+    const auto* report = fixture.FindAction<SendAttemptReport>();
+    BOOST_REQUIRE(report);
+    BOOST_TEST((report->report.outcome == dispatch::Outcome::kUnused));
+    const auto* failure = fixture.FindAction<RespondWithFailure>();
+    BOOST_REQUIRE(failure);
+    BOOST_TEST(failure->not_run);
+    BOOST_TEST((fixture.request.phase == Phase::kEnded));
+  }
+}
+
 }  // namespace poplarfork::request
