Keep most upstreams covered before failures begin

Few requests had failed until then, so nothing was covered, and the fault estimate had drawn the orders to the upstreams that had just responded.

Change: also while few requests fail, the floor share of the ready upstreams and 5% more are kept covered every 1.3 s (1.7 s for last attempts); the ones that look best go first, suspended ones are left out. Shed requests cost 1.5 instead of 0.7, as each uses up a retry. After a failed direct read of the store the pauses begin at 2 s, since all gateways together made 4 calls each in an outage.

--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/fault_estimate_func.h"
 #include "dispatch/placement_func.h"
 
 namespace poplarfork::dispatch {
@@ -16,6 +17,15 @@
 // request has covered by then.
 constexpr base::Duration kCoverageIntervalLastAttempt =
     std::chrono::milliseconds(1400);
+// Added to the intervals while few requests fail: there are then few upstreams
+// to cover, and each is found a request soon.
+constexpr base::Duration kCalmCoverageDelay = std::chrono::milliseconds(300);
+
+// Share of the ready upstreams that is kept covered beyond the floor while few
+// requests fail. The floor counts healthy upstreams only, and some of the
+// covered ones are not.
+constexpr double kFloorShareMargin = 0.05;
+
 // Pause after a coverage request that did not reach its upstream.
 constexpr base::Duration kCoverageRetryPause = std::chrono::milliseconds(400);
 
@@ -45,6 +55,12 @@
   loss_stats.decayed_at = now;
 }
 
+base::Duration CoverageInterval(bool is_last_attempt, bool lossy) {
+  const base::Duration interval =
+      is_last_attempt ? kCoverageIntervalLastAttempt : kCoverageInterval;
+  return lossy ? interval : interval + kCalmCoverageDelay;
+}
+
 // Tells whether the upstream can take one more request. Stalled requests do not
 // count, because an upstream that hangs would otherwise stay uncovered until
 // their deadlines.
@@ -54,6 +70,24 @@
   return upstream.running_count - stalled < upstream.entry.slots;
 }
 
+// Tells whether this share of the ready upstreams has received a request within
+// `interval`.
+bool IsShareCovered(const ShardState& shard_state,
+                    double share,
+                    base::Duration interval,
+                    base::TimePoint now) {
+  std::size_t ready = 0;
+  std::size_t covered = 0;
+  for (const auto& [id, upstream] : shard_state.upstreams) {
+    if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
+      continue;
+    ++ready;
+    covered += now - upstream.covered_at < interval ? 1 : 0;
+  }
+  return static_cast<double>(covered) >=
+         std::min(share, 1.0) * static_cast<double>(ready);
+}
+
 }  // namespace
 
 void CountPlaced(LossStats& loss_stats, base::TimePoint now) {
@@ -95,22 +129,32 @@
 UpstreamState* FindUpstreamToCover(ShardState& shard_state,
                                    const base::DaemonId& daemon,
                                    const SlotRequest& slot_request,
+                                   double floor_share,
                                    base::TimePoint now) {
-  if (!IsLossy(shard_state.loss_stats, now))
+  const bool lossy = IsLossy(shard_state.loss_stats, now);
+  const base::Duration interval =
+      CoverageInterval(MustSucceed(slot_request), lossy);
+  if (!lossy && IsShareCovered(shard_state, floor_share + kFloorShareMargin,
+                               interval, now))
     return nullptr;
-  const base::Duration interval = MustSucceed(slot_request)
-                                      ? kCoverageIntervalLastAttempt
-                                      : kCoverageInterval;
-  UpstreamState* oldest = nullptr;
+  UpstreamState* best = nullptr;
+  double best_rank = 0;
   for (auto& [id, upstream] : shard_state.upstreams) {
     if (now - upstream.covered_at < interval ||
         upstream.cover_not_before > now ||
         !MayBeSentTo(upstream, daemon, slot_request, now) || !HasRoom(upstream))
       continue;
-    if (!oldest || upstream.covered_at < oldest->covered_at)
-      oldest = &upstream;
+    if (!lossy && upstream.health_status == HealthStatus::kSuspended)
+      continue;
+    const double rank =
+        lossy ? static_cast<double>((now - upstream.covered_at).count())
+              : 1 - FaultProbability(upstream, now);
+    if (!best || rank > best_rank) {
+      best = &upstream;
+      best_rank = rank;
+    }
   }
-  return oldest;
+  return best;
 }
 
 }  // namespace poplarfork::dispatch
--- a/src/dispatch/coverage_func.h
+++ b/src/dispatch/coverage_func.h
@@ -7,16 +7,17 @@
 
 namespace poplarfork::dispatch {
 
-// Coverage is the promise that while many requests fail, every ready upstream
-// that can be reached keeps receiving requests, however bad it looks. The load
-// pattern that this handles is many failures from a cause that the outcomes do
-// not show: the upstreams that look bad may then be healthy, and the ones that
-// look good cannot carry the load alone.
+// Coverage is the promise that ready upstreams that can be reached keep
+// receiving requests. The load pattern that this handles is many failures from
+// a cause that the outcomes do not show: the upstreams that look bad may then
+// be healthy, and the ones that look good cannot carry the load alone.
 //
 // An upstream is due for coverage when no request has been sent to it for the
-// coverage interval. A due upstream goes before all other placement, whatever
-// its health status and cost are. Requests that can be sent again are used for
-// it first.
+// coverage interval. While many requests fail, every due upstream goes before
+// all other placement, whatever its health status and cost are, and the one
+// that has been due the longest goes first. Otherwise, since failures may begin
+// at any moment, a share of the upstreams is kept covered, and the ones that
+// look best go first. Requests that can be sent again are used before others.
 
 // Counts a request that has been granted an upstream for the first time.
 void CountPlaced(LossStats& loss_stats, base::TimePoint now);
@@ -42,11 +43,13 @@
                     const RunningAttempt& attempt,
                     base::TimePoint now);
 
-// Returns the upstream that has been due for coverage the longest and that the
-// request may be sent to, or null if there is none.
+// Returns the upstream to which the request should be sent for coverage, or
+// null if there is none. `floor_share` is the share of the healthy upstreams
+// that must receive requests.
 UpstreamState* FindUpstreamToCover(ShardState& shard_state,
                                    const base::DaemonId& daemon,
                                    const SlotRequest& slot_request,
+                                   double floor_share,
                                    base::TimePoint now);
 
 }  // namespace poplarfork::dispatch
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -24,7 +24,7 @@
 // fails its last attempt is lost, while others can be sent again.
 constexpr double kFaultCost = 3.0;
 constexpr double kFaultCostLastAttempt = 6.0;
-constexpr double kShedCost = 0.7;
+constexpr double kShedCost = 1.5;
 constexpr double kColdCost = 0.6;
 // Last attempts go to an upstream on trial only when all others are full.
 constexpr double kTrialCostLastAttempt = 4.0;
@@ -163,8 +163,8 @@
                             double floor_share,
                             base::TimePoint now,
                             base::Rng& rng) {
-  if (UpstreamState* uncovered =
-          FindUpstreamToCover(shard_state, daemon, slot_request, now))
+  if (UpstreamState* uncovered = FindUpstreamToCover(
+          shard_state, daemon, slot_request, floor_share, now))
     return uncovered;
   const bool below_floor = IsBelowFloor(shard_state, floor_share);
   UpstreamState* best = nullptr;
--- a/src/fleet/freshness_func.cc
+++ b/src/fleet/freshness_func.cc
@@ -13,8 +13,8 @@
 
 // Delay after the first failed direct read. It doubles with each further
 // failure up to the maximum.
-constexpr base::Duration kMinDirectReadDelay = std::chrono::milliseconds(500);
-constexpr std::uint32_t kMaxDelayDoublings = 3;
+constexpr base::Duration kMinDirectReadDelay = std::chrono::milliseconds(2000);
+constexpr std::uint32_t kMaxDelayDoublings = 2;
 
 }  // namespace
 
--- a/tests/dispatch/coverage_test.cc
+++ b/tests/dispatch/coverage_test.cc
@@ -75,6 +75,32 @@
   }
 }
 
+// Guards against healthy upstreams that are idle while all is well: when many
+// requests fail at the end of a window, it is too late to cover them.
+BOOST_AUTO_TEST_CASE(SoundUpstreamsAreCoveredBeforeFailuresBegin) {
+  constexpr int kRuns = 200;
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+    base::Rng rng(seed);
+    ModelOptions options = DrawOptions(rng);
+    options.load = 0.15 + 0.3 * base::Uniform01(rng);
+    options.faulty_share = 0.2 * base::Uniform01(rng);
+    options.episodes_per_s = 0.03;
+    options.takeover_at = {};
+    ServiceModel model(options, seed);
+    const base::TimePoint start = model.fixture.now;
+    double smallest = 1;
+    while (model.fixture.now < start + seconds(8)) {
+      model.Step();
+      if (model.steps % 20 == 0 && model.fixture.now > start + kFloorWindow)
+        smallest = std::min(smallest, model.CoveredShare(kFloorWindow));
+    }
+    BOOST_TEST_CONTEXT("seed " << seed << ", " << options.upstreams
+                               << " upstreams, load " << options.load
+                               << ", repeatable " << options.repeatable_share)
+    BOOST_TEST(smallest >= kFloorShare);
+  }
+}
+
 // Guards against an upstream that is never chosen again because its last
 // response, received long ago, reported a long queue.
 BOOST_AUTO_TEST_CASE(OldReportedLoadDoesNotKeepRequestsAway) {
