Split the running attempts off the dispatcher

What concerns a granted attempt until its report (stall times, abandoned attempts, slots) is now running_attempt_func; base::Scale() serves both.

--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -4,12 +4,14 @@
 #include <utility>
 
 #include "base/rng_func.h"
+#include "base/time_func.h"
 #include "dispatch/admission_func.h"
 #include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
 #include "dispatch/handover_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/placement_func.h"
+#include "dispatch/running_attempt_func.h"
 #include "dispatch/shard_state_func.h"
 #include "fleet/shard_func.h"
 
@@ -17,31 +19,6 @@
 
 namespace {
 
-// An attempt counts as stalled when it has taken this many mean durations of
-// its class of work. About one successful response in fifty takes longer.
-constexpr double kStallFactor = 3.2;
-// A repeatable request is retried at another upstream after this many mean
-// durations, earlier than it counts as stalled: running it twice costs little,
-// and the response can still be on time.
-constexpr double kRetryFactor = 2.4;
-// Lower limit of the time after which an attempt is retried or counts as
-// stalled.
-constexpr base::Duration kMinStallTime = std::chrono::milliseconds(250);
-// While the mean duration is not known, an attempt is retried and counts as
-// stalled after this share of the time that is left until its response counts
-// as late.
-constexpr double kUnknownStallTimeShare = 0.9;
-// Factor by which more time is allowed to upstreams that have just started.
-constexpr double kColdFactor = 2.2;
-
-// Time that the daemon's report of an attempt that still runs may take to
-// arrive before the attempt counts as abandoned.
-constexpr base::Duration kStillRunningMargin = std::chrono::milliseconds(100);
-
-// An attempt that has not been reported this long after its deadline is
-// removed, because its report must have been lost.
-constexpr base::Duration kReportGraceTime = std::chrono::milliseconds(400);
-
 // A dispatcher that has received no slot request for a shard for this long is
 // no longer the shard's dispatcher and leaves the health probes to the one that
 // is.
@@ -58,56 +35,11 @@
 // Retry-After of requests that are refused permanently.
 constexpr base::Duration kPermanentRefusalRetryAfter = std::chrono::seconds(30);
 
-base::Duration Scale(base::Duration duration, double factor) {
-  return base::Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 bool IsActive(const ShardState& shard_state, base::TimePoint now) {
   return !shard_state.queue.empty() ||
          now - shard_state.last_slot_request_at < kDispatcherIdleTimeout;
 }
 
-base::Duration StallTime(const ShardState& shard_state,
-                         const UpstreamState& upstream,
-                         const SlotRequest& slot_request,
-                         double factor,
-                         base::TimePoint now) {
-  const base::Duration unknown_stall_time =
-      Scale(slot_request.until_late, kUnknownStallTimeShare);
-  base::Duration stall_time = Scale(
-      MeanDuration(shard_state, slot_request.work_class, unknown_stall_time),
-      factor);
-  if (shard_state.duration_stats.find(slot_request.work_class) ==
-      shard_state.duration_stats.end())
-    stall_time = unknown_stall_time;
-  if (upstream.entry.cold_until > now)
-    stall_time = Scale(stall_time, kColdFactor);
-  return std::max(stall_time, kMinStallTime);
-}
-
-// Probability that a repeatable request whose attempt has failed is not served
-// by its next attempt either.
-constexpr double kRepeatableUnservedWeight = 0.1;
-
-double UnservedWeight(bool must_succeed) {
-  return must_succeed ? 1 : kRepeatableUnservedWeight;
-}
-
-// Counts a request as probably not served if its attempt has failed in a way
-// that has not been counted when the attempt stalled.
-void CountLostAttempt(ShardState& shard_state,
-                      const RunningAttempt& attempt,
-                      Outcome outcome,
-                      base::TimePoint now) {
-  const bool lost =
-      outcome == Outcome::kFailed || outcome == Outcome::kConnectionBroken ||
-      outcome == Outcome::kInvalidResponse || outcome == Outcome::kStalled;
-  if (lost && !attempt.stall_counted)
-    CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.must_succeed),
-                  now);
-}
-
 // Tells whether the upstream has not received the request of an attempt that
 // ended with this outcome.
 bool IsNotSent(Outcome outcome) {
@@ -115,11 +47,6 @@
          outcome == Outcome::kConnectionRefused;
 }
 
-fleet::Shard RequestedShard(const SlotRequest& slot_request) {
-  return {slot_request.work_class.service, slot_request.shard_index,
-          slot_request.shard_count};
-}
-
 Refusal MakeRefusal(const ShardState* shard_state,
                     const SlotRequest& slot_request,
                     RefusalReason reason,
@@ -138,29 +65,8 @@
                base::Duration waited,
                base::TimePoint now,
                Actions& actions) {
-  const base::Duration stall_time =
-      StallTime(shard_state, upstream, slot_request, kStallFactor, now);
-  RunningAttempt attempt;
-  attempt.daemon = daemon;
-  attempt.attempt_id = slot_request.attempt_id;
-  attempt.upstream = upstream.entry.id;
-  attempt.shard = RequestedShard(slot_request);
-  attempt.work_class = slot_request.work_class;
-  attempt.must_succeed = MustSucceed(slot_request);
-  attempt.fingerprint = slot_request.fingerprint;
-  attempt.granted_at = now;
-  attempt.retry_at =
-      now + StallTime(shard_state, upstream, slot_request, kRetryFactor, now);
-  attempt.stalls_at =
-      std::max(now + stall_time, attempt.retry_at + kStillRunningMargin);
-  attempt.expires_at =
-      now + slot_request.until_deadline - waited + kReportGraceTime;
-  dispatcher.running_attempts[{daemon, slot_request.attempt_id}] = attempt;
-  ++upstream.running_count;
-  upstream.open_attempts.push_back(
-      {now,
-       MeanDuration(shard_state, slot_request.work_class, base::Duration(0))});
-  MarkCovered(upstream, now);
+  const RunningAttempt& attempt = AddRunningAttempt(
+      dispatcher, shard_state, upstream, daemon, slot_request, waited, now);
   if (!slot_request.is_retry) {
     CountFirstAttempt(dispatcher.settings, shard_state, now);
     CountPlaced(shard_state.loss_stats, now);
@@ -230,71 +136,6 @@
   return true;
 }
 
-std::vector<OpenAttempt>::iterator FindOpenAttempt(UpstreamState& upstream,
-                                                   base::TimePoint granted_at) {
-  return std::find_if(upstream.open_attempts.begin(),
-                      upstream.open_attempts.end(),
-                      [granted_at](const OpenAttempt& open_attempt) {
-                        return open_attempt.granted_at == granted_at;
-                      });
-}
-
-void ReleaseSlot(ShardState& shard_state, const RunningAttempt& attempt) {
-  const auto found = shard_state.upstreams.find(attempt.upstream);
-  if (found == shard_state.upstreams.end())
-    return;
-  UpstreamState& upstream = found->second;
-  upstream.running_count -= upstream.running_count > 0 ? 1 : 0;
-  const auto open_attempt = FindOpenAttempt(upstream, attempt.granted_at);
-  if (open_attempt != upstream.open_attempts.end())
-    upstream.open_attempts.erase(open_attempt);
-  if (attempt.stall_counted)
-    upstream.stalled_count -= upstream.stalled_count > 0 ? 1 : 0;
-}
-
-void CheckRunningAttempts(Dispatcher& dispatcher,
-                          base::TimePoint now,
-                          Actions& actions) {
-  for (auto item = dispatcher.running_attempts.begin();
-       item != dispatcher.running_attempts.end();) {
-    RunningAttempt& attempt = item->second;
-    const auto shard = dispatcher.shards.find(attempt.shard);
-    if (shard == dispatcher.shards.end()) {
-      item = dispatcher.running_attempts.erase(item);
-      continue;
-    }
-    ShardState& shard_state = shard->second;
-    // A daemon that waits for a response has reported that by now. One that has
-    // not is gone, and its silence says nothing about the upstream.
-    const bool is_abandoned = attempt.stalls_at <= now &&
-                              !attempt.stall_counted &&
-                              !attempt.is_still_running;
-    if (is_abandoned)
-      CountUnserved(shard_state.loss_stats,
-                    UnservedWeight(attempt.must_succeed), now);
-    if (is_abandoned || attempt.expires_at <= now) {
-      ReleaseSlot(shard_state, attempt);
-      item = dispatcher.running_attempts.erase(item);
-      continue;
-    }
-    const auto upstream = shard_state.upstreams.find(attempt.upstream);
-    if (attempt.stalls_at <= now && !attempt.stall_counted &&
-        upstream != shard_state.upstreams.end()) {
-      attempt.stall_counted = true;
-      const double weight = RecordDaemonOutcome(
-          dispatcher, attempt.daemon, attempt.upstream, Outcome::kStalled, now);
-      CountStall(upstream->second, attempt, weight, now, actions);
-      const auto open_attempt =
-          FindOpenAttempt(upstream->second, attempt.granted_at);
-      if (open_attempt != upstream->second.open_attempts.end())
-        open_attempt->expected_duration = base::Duration(0);
-      CountUnserved(shard_state.loss_stats,
-                    UnservedWeight(attempt.must_succeed), now);
-    }
-    ++item;
-  }
-}
-
 // Refuses queued requests that can no longer be completed before their
 // deadline.
 void RefuseExpiredRequests(ShardState& shard_state,
@@ -304,7 +145,8 @@
   std::erase_if(shard_state.queue, [&](const QueuedRequest& queued_request) {
     const base::Duration duration = MeanDuration(
         shard_state, queued_request.slot_request.work_class, base::Duration(0));
-    if (now + Scale(duration, kShortDurationShare) < queued_request.deadline)
+    if (now + base::Scale(duration, kShortDurationShare) <
+        queued_request.deadline)
       return false;
     CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
--- a/src/dispatch/shard_state_func.cc
+++ b/src/dispatch/shard_state_func.cc
@@ -22,6 +22,11 @@
 
 }  // namespace
 
+fleet::Shard RequestedShard(const SlotRequest& slot_request) {
+  return {slot_request.work_class.service, slot_request.shard_index,
+          slot_request.shard_count};
+}
+
 ShardState* FindOrCreateShard(Dispatcher& dispatcher,
                               const fleet::Shard& shard,
                               base::TimePoint now) {
--- a/src/dispatch/shard_state_func.h
+++ b/src/dispatch/shard_state_func.h
@@ -4,6 +4,9 @@
 
 namespace poplarfork::dispatch {
 
+// Returns the shard from which the slot is requested.
+fleet::Shard RequestedShard(const SlotRequest& slot_request);
+
 // Returns the state of a shard. If there is none yet, it is created from all
 // known upstreams. Returns null if the service has no upstreams or `shard` is
 // not a valid shard.
