--- a/tests/support/endless_upstream.h
+++ b/tests/support/endless_upstream.h
@@ -15,7 +15,7 @@
  public:
   EndlessUpstream(boost::asio::io_context& loop,
                   std::string prefix,
-                  std::string piece)
+                  const std::string& piece)
       : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
         prefix(std::move(prefix)) {
     constexpr std::size_t kMinWriteBytes = 4096;
