Limit coverage among last attempts and leave out its losses

Keeping three quarters of the upstreams covered took most requests, which then went to upstreams of which nothing was known; what they lost made the shard lossy, which kept coverage up.

Change: while few requests fail, coverage uses at most one last attempt for five others; coverage requests and their losses do not count towards the share that is probably not served.

--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -26,6 +26,12 @@
 // covered ones are not.
 constexpr double kFloorShareMargin = 0.05;
 
+// Coverage requests for each other request while few requests fail, as far as
+// last attempts are used. Where upstreams see less than a request a second,
+// most requests would otherwise go to upstreams of which nothing is known.
+constexpr double kCalmCoverageShare = 0.2;
+constexpr double kMaxCoverageCredit = 4;
+
 // Pause after a coverage request that did not reach its upstream.
 constexpr base::Duration kCoverageRetryPause = std::chrono::milliseconds(400);
 
@@ -90,7 +96,15 @@
 
 }  // namespace
 
-void CountPlaced(LossStats& loss_stats, base::TimePoint now) {
+void CountPlaced(LossStats& loss_stats,
+                 bool for_coverage,
+                 base::TimePoint now) {
+  if (for_coverage) {
+    loss_stats.coverage_credit = std::max(loss_stats.coverage_credit - 1, 0.0);
+    return;
+  }
+  loss_stats.coverage_credit = std::min(
+      loss_stats.coverage_credit + kCalmCoverageShare, kMaxCoverageCredit);
   Decay(loss_stats, now);
   loss_stats.placed += 1;
 }
@@ -137,6 +151,9 @@
   if (!lossy && IsShareCovered(shard_state, floor_share + kFloorShareMargin,
                                interval, now))
     return nullptr;
+  if (!lossy && MustSucceed(slot_request) &&
+      shard_state.loss_stats.coverage_credit < 1)
+    return nullptr;
   UpstreamState* best = nullptr;
   double best_rank = 0;
   for (auto& [id, upstream] : shard_state.upstreams) {
--- a/src/dispatch/coverage_func.h
+++ b/src/dispatch/coverage_func.h
@@ -20,7 +20,9 @@
 // look best go first. Requests that can be sent again are used before others.
 
 // Counts a request that has been granted an upstream for the first time.
-void CountPlaced(LossStats& loss_stats, base::TimePoint now);
+// Coverage requests and their losses are left out: coverage would otherwise
+// cause the losses that keep it up.
+void CountPlaced(LossStats& loss_stats, bool for_coverage, base::TimePoint now);
 
 // Counts a request that will probably not be served. `weight` (0 to 1) is the
 // probability of that.
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -59,17 +59,18 @@
 
 void GrantSlot(Dispatcher& dispatcher,
                ShardState& shard_state,
-               UpstreamState& upstream,
+               const Placement& placement,
                const base::DaemonId& daemon,
                const SlotRequest& slot_request,
                base::Duration waited,
                base::TimePoint now,
                Actions& actions) {
   const RunningAttempt& attempt = AddRunningAttempt(
-      dispatcher, shard_state, upstream, daemon, slot_request, waited, now);
+      dispatcher, shard_state, placement, daemon, slot_request, waited, now);
+  const UpstreamState& upstream = *placement.upstream;
   if (!slot_request.is_retry) {
     CountFirstAttempt(dispatcher.settings, shard_state, now);
-    CountPlaced(shard_state.loss_stats, now);
+    CountPlaced(shard_state.loss_stats, placement.for_coverage, now);
   }
   actions.push_back(SendGrant{
       daemon, Grant{slot_request.attempt_id, upstream.entry.id,
@@ -85,12 +86,12 @@
   while (!shard_state.queue.empty()) {
     const std::size_t next = NextQueuedIndex(shard_state, now);
     QueuedRequest& queued_request = shard_state.queue[next];
-    UpstreamState* upstream = PlaceRequest(
+    const Placement placement = PlaceRequest(
         shard_state, queued_request.daemon, queued_request.slot_request,
         dispatcher.settings.floor_share, now, rng);
-    if (!upstream)
+    if (!placement.upstream)
       return;
-    GrantSlot(dispatcher, shard_state, *upstream, queued_request.daemon,
+    GrantSlot(dispatcher, shard_state, placement, queued_request.daemon,
               queued_request.slot_request, now - queued_request.queued_at, now,
               actions);
     shard_state.queue.erase(shard_state.queue.begin() +
@@ -200,11 +201,11 @@
   // Queued requests are served first. The new request can still get a slot if
   // the free ones cannot be used for the next queued request.
   ServeQueue(dispatcher, shard_state, now, rng, actions);
-  UpstreamState* upstream =
+  const Placement placement =
       PlaceRequest(shard_state, daemon, slot_request,
                    dispatcher.settings.floor_share, now, rng);
-  if (upstream) {
-    GrantSlot(dispatcher, shard_state, *upstream, daemon, slot_request,
+  if (placement.upstream) {
+    GrantSlot(dispatcher, shard_state, placement, daemon, slot_request,
               base::Duration(0), now, actions);
     return actions;
   }
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -69,6 +69,8 @@
   double placed = 0;
   double unserved = 0;
   base::TimePoint decayed_at{};
+  // Last attempts that may be used for coverage while few requests fail.
+  double coverage_credit = 0;
   // Until then, many requests are assumed to fail because nothing is known.
   base::TimePoint unknown_until{};
 };
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -157,15 +157,15 @@
          path_failure->second.avoid_until <= now;
 }
 
-UpstreamState* PlaceRequest(ShardState& shard_state,
-                            const base::DaemonId& daemon,
-                            const SlotRequest& slot_request,
-                            double floor_share,
-                            base::TimePoint now,
-                            base::Rng& rng) {
+Placement PlaceRequest(ShardState& shard_state,
+                       const base::DaemonId& daemon,
+                       const SlotRequest& slot_request,
+                       double floor_share,
+                       base::TimePoint now,
+                       base::Rng& rng) {
   if (UpstreamState* uncovered = FindUpstreamToCover(
           shard_state, daemon, slot_request, floor_share, now))
-    return uncovered;
+    return {uncovered, true};
   const bool below_floor = IsBelowFloor(shard_state, floor_share);
   UpstreamState* best = nullptr;
   double best_cost = 0;
@@ -179,7 +179,7 @@
       best_cost = cost;
     }
   }
-  return best;
+  return {best, false};
 }
 
 double CompletionRate(const ShardState& shard_state) {
--- a/src/dispatch/placement_func.h
+++ b/src/dispatch/placement_func.h
@@ -19,17 +19,24 @@
                  const SlotRequest& slot_request,
                  base::TimePoint now);
 
-// Chooses the upstream for a slot request of `daemon`, or returns null if no
-// upstream has a free slot. The load pattern that this handles is many daemons
+// The upstream that was chosen for a request, or null, and why.
+struct Placement {
+  UpstreamState* upstream = nullptr;
+  // The upstream was due for coverage.
+  bool for_coverage = false;
+};
+
+// Chooses the upstream for a slot request of `daemon`, if there is one with a
+// free slot. The load pattern that this handles is many daemons
 // that each see only a few requests, in front of upstreams with few slots and
 // different speeds. If each daemon chose by its own view alone, some upstreams
 // would be full while others are idle.
-UpstreamState* PlaceRequest(ShardState& shard_state,
-                            const base::DaemonId& daemon,
-                            const SlotRequest& slot_request,
-                            double floor_share,
-                            base::TimePoint now,
-                            base::Rng& rng);
+Placement PlaceRequest(ShardState& shard_state,
+                       const base::DaemonId& daemon,
+                       const SlotRequest& slot_request,
+                       double floor_share,
+                       base::TimePoint now,
+                       base::Rng& rng);
 
 // Returns the number of requests per second that the upstreams of the shard can
 // complete, without the suspended ones.
--- a/src/dispatch/running_attempt_func.cc
+++ b/src/dispatch/running_attempt_func.cc
@@ -77,12 +77,14 @@
 
 const RunningAttempt& AddRunningAttempt(Dispatcher& dispatcher,
                                         ShardState& shard_state,
-                                        UpstreamState& upstream,
+                                        const Placement& placement,
                                         const base::DaemonId& daemon,
                                         const SlotRequest& slot_request,
                                         base::Duration waited,
                                         base::TimePoint now) {
+  UpstreamState& upstream = *placement.upstream;
   RunningAttempt attempt;
+  attempt.for_coverage = placement.for_coverage;
   attempt.daemon = daemon;
   attempt.attempt_id = slot_request.attempt_id;
   attempt.upstream = upstream.entry.id;
@@ -114,7 +116,7 @@
   const bool lost =
       outcome == Outcome::kFailed || outcome == Outcome::kConnectionBroken ||
       outcome == Outcome::kInvalidResponse || outcome == Outcome::kStalled;
-  if (lost && !attempt.stall_counted)
+  if (lost && !attempt.stall_counted && !attempt.for_coverage)
     CountUnserved(shard_state.loss_stats, UnservedWeight(attempt.must_succeed),
                   now);
 }
@@ -149,7 +151,7 @@
     const bool is_abandoned = attempt.stalls_at <= now &&
                               !attempt.stall_counted &&
                               !attempt.is_still_running;
-    if (is_abandoned)
+    if (is_abandoned && !attempt.for_coverage)
       CountUnserved(shard_state.loss_stats,
                     UnservedWeight(attempt.must_succeed), now);
     if (is_abandoned || attempt.expires_at <= now) {
@@ -168,8 +170,9 @@
           FindOpenAttempt(upstream->second, attempt.granted_at);
       if (open_attempt != upstream->second.open_attempts.end())
         open_attempt->expected_duration = base::Duration(0);
-      CountUnserved(shard_state.loss_stats,
-                    UnservedWeight(attempt.must_succeed), now);
+      if (!attempt.for_coverage)
+        CountUnserved(shard_state.loss_stats,
+                      UnservedWeight(attempt.must_succeed), now);
     }
     ++item;
   }
--- a/src/dispatch/running_attempt_func.h
+++ b/src/dispatch/running_attempt_func.h
@@ -2,14 +2,15 @@
 
 #include "dispatch/action_type.h"
 #include "dispatch/dispatcher_type.h"
+#include "dispatch/placement_func.h"
 
 namespace poplarfork::dispatch {
 
-// Adds the attempt for which a slot of `upstream` is granted, and takes the
-// slot. `waited` is the time that the request spent in the queue.
+// Adds the attempt for which a slot of the placement's upstream is granted, and
+// takes the slot. `waited` is the time that the request spent in the queue.
 const RunningAttempt& AddRunningAttempt(Dispatcher& dispatcher,
                                         ShardState& shard_state,
-                                        UpstreamState& upstream,
+                                        const Placement& placement,
                                         const base::DaemonId& daemon,
                                         const SlotRequest& slot_request,
                                         base::Duration waited,
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -20,6 +20,8 @@
   WorkClass work_class;
   // The request is lost if this attempt fails, see MustSucceed().
   bool must_succeed = true;
+  // The upstream was chosen because it was due for coverage.
+  bool for_coverage = false;
   Fingerprint fingerprint;
   base::TimePoint granted_at{};
   // From this time on, a repeatable request is retried at another upstream.
