--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -368,9 +368,15 @@
         if self.running >= self.slots and self.waiting >= 12:
             return format_response(
                 503, echo + [("Not-Executed", "1"), self.load()], b"")
+        deadline = time.monotonic() + \
+            int(headers.get("deadline-ms", "60000")) / 1000
         self.waiting += 1
         await self.free.acquire()
         self.waiting -= 1
+        if reader.at_eof() or time.monotonic() >= deadline:
+            self.free.release()
+            return None if reader.at_eof() else format_response(
+                503, echo + [("Not-Executed", "1"), self.load()], b"")
         self.running += 1
         run = {"at": self.record.now(), "attempt": attempt,
                "backend": self.identity, "service": self.service,
@@ -382,9 +388,15 @@
         gone = asyncio.ensure_future(reader.read(1))
         try:
             await asyncio.wait({work, gone},
+                               timeout=deadline - time.monotonic(),
                                return_when=asyncio.FIRST_COMPLETED)
-            if not work.done() or not self.is_up:
+            if gone.done() or not self.is_up:
                 return None
+            if not work.done():
+                run["ended"] = "at its time budget"
+                return format_response(
+                    504, echo + [("Response-Signature", "sig." + attempt),
+                                 self.load()], b"")
             run["ended"] = "answered"
             return format_response(
                 200, echo + [("Response-Signature", "sig." + attempt),
