Probe upstreams whose connections break, so that crashing requests are contained

Callers saw: a request that crashes the upstreams that run it was sent to new ones for as long as its caller repeated it.

Cause: a broken connection counted as a crash only if another attempt was refused by the same upstream within 1.5 s. Placement avoids upstreams that have just failed while others have room, so nobody tried.

Change: when a fingerprint has broken a second connection, the dispatcher probes the upstream, again every 150 ms until it knows, for 1.5 s at most. Upstreams that drain are not suspected, several requests of a kind at one upstream count once, and a response clears the fingerprint. A refused fingerprint is admitted again after 60, 120 and 240 s; before, it was refused for 120 s after its last crash, however often it came, and then crashed three more upstreams.

Why it works: the evidence no longer depends on where other requests go. Two breaks are needed before a probe is sent, so ordinary failures cost none.

CrashingRequestsAreContained fails on the code before (with the stand-in's crash added) and passes now.

--- a/src/dispatch/action_type.h
+++ b/src/dispatch/action_type.h
@@ -23,12 +23,33 @@
   Refusal refusal;
 };
 
+// Why an upstream is probed.
+enum class ProbePurpose {
+  // A suspended upstream may have recovered.
+  kRecovery,
+  // A request may have crashed the upstream.
+  kCrash,
+};
+
 // Starts a request to the upstream's health path. Its result comes back through
 // OnProbeResult().
 struct StartProbe {
   base::ServiceId service;
   base::UpstreamId upstream;
   std::string address;
+  ProbePurpose purpose = ProbePurpose::kRecovery;
+};
+
+// Reports for the log that a broken connection was counted as a crash that the
+// request caused.
+struct CrashCounted {
+  base::ServiceId service;
+  base::UpstreamId upstream;
+  Fingerprint fingerprint;
+  // Crashes that requests with this fingerprint have caused so far.
+  std::uint32_t crashes = 0;
+  const char* evidence = "";
+  base::Duration since_break{};
 };
 
 // Reports a change of an upstream's health status for the log and the metrics.
@@ -48,6 +69,7 @@
                             SendQueuedNotice,
                             SendRefusal,
                             StartProbe,
+                            CrashCounted,
                             HealthStatusChanged>;
 using Actions = std::vector<Action>;
 
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -182,7 +182,7 @@
   shard_state.last_slot_request_at = now;
   if (RepeatReply(dispatcher, daemon, slot_request, shard_state, actions))
     return actions;
-  if (HasCrashedUpstreams(dispatcher, slot_request)) {
+  if (IsRefusedForCrashes(dispatcher, slot_request, now)) {
     actions.push_back(SendRefusal{
         daemon, MakeRefusal(&shard_state, slot_request,
                             RefusalReason::kCrashesUpstreams, rng)});
@@ -253,7 +253,8 @@
   if (IsNotSent(report.outcome))
     RevokeCoverage(upstream, attempt, now);
   CountLostAttempt(shard_state, attempt, report.outcome, now);
-  UpdateCrashRecords(dispatcher, upstream, attempt, report.outcome, now);
+  UpdateCrashRecords(dispatcher, upstream, attempt, report.outcome, now,
+                     actions);
   const double weight = RecordDaemonOutcome(
       dispatcher, daemon, attempt.upstream, report.outcome, now);
   CountOutcome(shard_state, upstream, attempt, report, weight, now, actions);
@@ -302,15 +303,18 @@
 Actions OnProbeResult(Dispatcher& dispatcher,
                       const base::ServiceId& service,
                       const base::UpstreamId& upstream,
-                      bool healthy,
+                      ProbeResult result,
                       base::TimePoint now) {
   Actions actions;
   for (auto& [shard, shard_state] : dispatcher.shards) {
     if (shard.service != service)
       continue;
     const auto found_upstream = shard_state.upstreams.find(upstream);
-    if (found_upstream != shard_state.upstreams.end())
-      HandleProbeResult(found_upstream->second, healthy, now, actions);
+    if (found_upstream == shard_state.upstreams.end())
+      continue;
+    UpstreamState& state = found_upstream->second;
+    if (!HandleCrashProbeResult(dispatcher, state, result, now, actions))
+      HandleProbeResult(state, result == ProbeResult::kHealthy, now, actions);
   }
   return actions;
 }
@@ -324,8 +328,10 @@
   for (auto& [shard, shard_state] : dispatcher.shards) {
     if (!IsActive(shard_state, now))
       continue;
-    for (auto& [upstream_id, upstream] : shard_state.upstreams)
+    for (auto& [upstream_id, upstream] : shard_state.upstreams) {
       StartDueProbe(upstream, now, actions);
+      StartDueCrashProbe(dispatcher, upstream, now, actions);
+    }
     RefuseExpiredRequests(shard_state, now, rng, actions);
     ServeQueue(dispatcher, shard_state, now, rng, actions);
   }
@@ -341,7 +347,8 @@
     if (!IsActive(shard_state, now))
       continue;
     for (const auto& [upstream_id, upstream] : shard_state.upstreams) {
-      if (upstream.health_status == HealthStatus::kSuspended)
+      if (upstream.health_status == HealthStatus::kSuspended ||
+          !upstream.broken_connections.empty())
         return true;
     }
   }
--- a/src/dispatch/dispatcher_func.h
+++ b/src/dispatch/dispatcher_func.h
@@ -38,7 +38,7 @@
 Actions OnProbeResult(Dispatcher& dispatcher,
                       const base::ServiceId& service,
                       const base::UpstreamId& upstream,
-                      bool healthy,
+                      ProbeResult result,
                       base::TimePoint now);
 
 // Handles attempts that have stalled or whose reports were lost, queued
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -50,10 +50,16 @@
   bool initialized = false;
 };
 
-// Confirmed crashes that requests with one fingerprint have caused.
+// Requests with one fingerprint whose connections to upstreams broke.
 struct CrashRecord {
+  std::uint32_t breaks = 0;
+  // Broken connections after which the upstream could not be reached.
   std::uint32_t crashes = 0;
-  base::TimePoint last_crash_at{};
+  base::TimePoint last_seen_at{};
+  // Requests are refused until then because of their crashes, and when one was
+  // last admitted nevertheless.
+  base::TimePoint refused_until{};
+  base::TimePoint admitted_at = base::TimePoint::max();
 };
 
 // When a daemon last received a response from each upstream, and when an
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -127,6 +127,15 @@
   kStillRunning,
 };
 
+// Result of a request to the health path of an upstream.
+enum class ProbeResult {
+  kHealthy,
+  // There was no response, or none that states that the upstream is healthy.
+  kUnhealthy,
+  // The upstream's host refused the connection.
+  kRefused,
+};
+
 // Load that an upstream reports in its responses.
 struct ReportedLoad {
   std::uint32_t running = 0;
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -247,11 +247,8 @@
                       base::TimePoint now,
                       Actions& actions) {
   RecordPathFailure(upstream, attempt.daemon, now);
-  const bool silent = now - upstream.last_response_at > kRecentResponseTime;
-  if (refused && silent) {
-    Suspend(upstream, "connections are refused", now, actions);
+  if (refused && SuspendRefusing(upstream, now, actions))
     return;
-  }
   if (weight < 1 || upstream.last_response_at > attempt.granted_at)
     return;
   if (CountPathFailuresSinceResponse(upstream, now) >= kMinUnreachableDaemons ||
@@ -400,6 +397,15 @@
   return is_daemon_fault ? kFaultyDaemonWeight : 1;
 }
 
+bool SuspendRefusing(UpstreamState& upstream,
+                     base::TimePoint now,
+                     Actions& actions) {
+  if (now - upstream.last_response_at <= kRecentResponseTime)
+    return false;
+  Suspend(upstream, "connections are refused", now, actions);
+  return true;
+}
+
 void HandleProbeResult(UpstreamState& upstream,
                        bool healthy,
                        base::TimePoint now,
@@ -423,7 +429,8 @@
     return;
   upstream.probing = true;
   actions.push_back(StartProbe{upstream.entry.service, upstream.entry.id,
-                               upstream.entry.address});
+                               upstream.entry.address,
+                               ProbePurpose::kRecovery});
 }
 
 }  // namespace poplarfork::dispatch
--- a/src/dispatch/outlier_detection_func.h
+++ b/src/dispatch/outlier_detection_func.h
@@ -37,6 +37,12 @@
                            Outcome outcome,
                            base::TimePoint now);
 
+// Suspends an upstream whose host refused a connection, unless there has been a
+// response since shortly before. Returns whether it is suspended.
+bool SuspendRefusing(UpstreamState& upstream,
+                     base::TimePoint now,
+                     Actions& actions);
+
 // Handles the result of a health probe of a suspended upstream.
 void HandleProbeResult(UpstreamState& upstream,
                        bool healthy,
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -111,6 +111,10 @@
     base::TimePoint broke_at{};
   };
   std::vector<BrokenConnection> broken_connections;
+  // A probe that shows whether the upstream has crashed; the next one is not
+  // sent before `crash_probe_not_before`.
+  bool crash_probe_running = false;
+  base::TimePoint crash_probe_not_before{};
 
   // Daemons whose connections to the upstream failed recently: when the first
   // failure was seen, and until when the daemon is not granted this upstream.
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -69,22 +69,33 @@
   SendToDaemon(gateway, action.to, action.refusal);
 }
 
+dispatch::ProbeResult ClassifyProbe(
+    const dispatch::StartProbe& probe,
+    const upstream::BufferedResponse& response) {
+  if (response.IsComplete() && response.header.result_int() == 200 &&
+      platform::IsFromInstance(response.header, probe.upstream))
+    return dispatch::ProbeResult::kHealthy;
+  return response.end.error == boost::asio::error::connection_refused
+             ? dispatch::ProbeResult::kRefused
+             : dispatch::ProbeResult::kUnhealthy;
+}
+
 // Logs the result of a health probe and passes it to the dispatcher.
 void OnProbeResponse(Gateway& gateway,
                      const dispatch::StartProbe& probe,
                      const upstream::BufferedResponse& response) {
-  const bool healthy =
-      response.IsComplete() && response.header.result_int() == 200 &&
-      platform::IsFromInstance(response.header, probe.upstream);
+  const dispatch::ProbeResult result = ClassifyProbe(probe, response);
   Log(gateway, "probed",
       {{"service", probe.service.value},
        {"upstream", probe.upstream.value},
-       {"healthy", healthy},
+       {"purpose",
+        probe.purpose == dispatch::ProbePurpose::kCrash ? "crash" : "recovery"},
+       {"healthy", result == dispatch::ProbeResult::kHealthy},
        {"status", response.IsComplete() ? response.header.result_int() : 0},
        {"error", response.end.error.message()}});
-  ExecuteActions(
-      gateway, dispatch::OnProbeResult(gateway.dispatcher, probe.service,
-                                       probe.upstream, healthy, clock::Now()));
+  ExecuteActions(gateway,
+                 dispatch::OnProbeResult(gateway.dispatcher, probe.service,
+                                         probe.upstream, result, clock::Now()));
 }
 
 void ExecuteAction(Gateway& gateway, const dispatch::StartProbe& action) {
@@ -124,6 +135,17 @@
                                 action.health_status + "\"}");
 }
 
+void ExecuteAction(Gateway& gateway, const dispatch::CrashCounted& action) {
+  Log(gateway, "crash_counted",
+      {{"service", action.service.value},
+       {"upstream", action.upstream.value},
+       {"fingerprint", action.fingerprint.value},
+       {"crashes", action.crashes},
+       {"evidence", action.evidence},
+       {"since_break_ms", ToMilliseconds(action.since_break)}});
+  metrics::IncrementCounter(gateway.metrics, "crashes_counted_total");
+}
+
 void ExecuteActions(Gateway& gateway, const dispatch::Actions& actions) {
   for (const dispatch::Action& action : actions)
     std::visit([&gateway](const auto& body) { ExecuteAction(gateway, body); },
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -87,6 +87,12 @@
     *is_disconnected = true;
     ++upstream->abandoned_runs;
   });
+  if (!upstream->crash_path.empty() &&
+      RequestPath(*connection) == upstream->crash_path) {
+    StopAccepting(*upstream->server);
+    ResetConnections(*upstream->server);
+    return;
+  }
   if (upstream->fault == Fault::kHang)
     return;
   auto timer = std::make_shared<boost::asio::steady_timer>(upstream->executor);
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -50,6 +50,9 @@
   std::string address;
   base::Duration service_time{};
   PlatformUpstreamFault fault = PlatformUpstreamFault::kNone;
+  // A request with this path crashes the upstream as soon as it runs: all
+  // connections are reset and new ones are refused. Empty for no request.
+  std::string crash_path;
   // Number of runs by request id.
   std::map<std::string, int> run_counts;
   // Number of runs whose caller closed the connection before the response.
--- a/tests/dispatch/service_model.h
+++ b/tests/dispatch/service_model.h
@@ -134,7 +134,7 @@
         this->waiting.erase(found);
       } else if (const auto* probe = std::get_if<StartProbe>(&action)) {
         OnProbeResult(this->fixture.dispatcher, probe->service, probe->upstream,
-                      true, this->fixture.now);
+                      ProbeResult::kHealthy, this->fixture.now);
       }
     }
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -40,6 +40,16 @@
   return known_count == count;
 }
 
+// Returns the crashes that the dispatchers have counted for one request.
+int CountedCrashes(const FleetFixture& fleet) {
+  std::uint32_t crashes = 0;
+  for (const auto& gateway : fleet.gateways) {
+    for (const auto& [fingerprint, record] : gateway->dispatcher.crashes)
+      crashes = std::max(crashes, record.crashes);
+  }
+  return static_cast<int>(crashes);
+}
+
 // Returns the version of a gateway's configuration, or 0 if it has none.
 std::uint64_t GetConfigurationVersion(const Gateway& gateway) {
   return gateway.configuration ? gateway.configuration->version.value : 0;
@@ -177,6 +187,35 @@
   BOOST_TEST(CountRuns(*this, "o") == 0);
 }
 
+// Guards against a request that crashes one upstream after the other, because
+// nobody notices that the upstreams are gone while others have room.
+BOOST_FIXTURE_TEST_CASE(CrashingRequestsAreContained, TwoGatewayFleet) {
+  constexpr std::size_t kAdded = 14;
+  for (std::size_t i = 0; i < kAdded; ++i)
+    this->AddUpstream("added" + std::to_string(i));
+  for (const auto& [id, upstream] : this->upstreams)
+    upstream->crash_path = "/look/crash";
+  BOOST_REQUIRE(this->RunUntil([this] {
+    return HasUpstreamCount(*this->first, kAdded + 2) &&
+           HasUpstreamCount(*this->second, kAdded + 2);
+  }));
+  int crashes = 0;
+  for (int i = 0; i < 7; ++i) {
+    Gateway& gateway = i % 2 == 0 ? *this->first : *this->second;
+    const std::string id = "crash-" + std::to_string(i);
+    this->SendAndWait(gateway, {.request_id = id, .target = "/look/crash"});
+    crashes += CountRuns(*this, id);
+    BOOST_REQUIRE(this->RunUntil(
+        [&] { return CountedCrashes(*this) >= std::min(crashes, 3); }));
+  }
+  BOOST_TEST(crashes <= 4);
+  BOOST_TEST(this->SendAndWait(*this->second, {.request_id = "look"}).status ==
+             200U);
+  BOOST_TEST(
+      this->SendAndWait(*this->first, {.request_id = "o", .is_order = true})
+          .status == 200U);
+}
+
 // Guards against upstreams that go on working on a request whose caller has
 // closed its connection.
 BOOST_FIXTURE_TEST_CASE(RequestsAreCancelledWhenTheCallerDisconnects,
