Lay the first failure of a kept connection to the connection, not to the store

Cause: a single failed call counted as an outage of the store, and removals that are read within 2.2 s after an outage are put off, as they may be entries that expired in it. The logs of both readers show a time-out 2.0 s after the last success, the next call served 0.45 and 0.56 s later, and the removal applied as "missing after a store outage" 2.2 s after that. Slow dissemination is ruled out: the other gateways applied it within 1 ms of the first reader.

Change: a failure without a response on a connection that had been open is laid to the connection, if it is the first since a success or its call began before that one was noticed. A call that fails after that, a refusal by the store, or a connection that is not accepted is an outage as before. So is a time of 1.75 heartbeats (a new setting, from the deployment) without a word of the store, because entries may have expired in it unseen.

Why it works: only a new connection can tell whether the store is there, and now one is asked before removals are put off.

RemovalsAreAppliedAfter- LostConnections and -CutWatches fail on the code before.

--- a/src/fleet/freshness_func.cc
+++ b/src/fleet/freshness_func.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/time_func.h"
+
 namespace poplarfork::fleet {
 
 namespace {
@@ -16,6 +18,10 @@
 constexpr base::Duration kMinDirectReadDelay = std::chrono::milliseconds(2000);
 constexpr std::uint32_t kMaxDelayDoublings = 2;
 
+// Entries expire after three heartbeats of silence. The last one may have come
+// a whole interval, and a quarter more for its jitter, before the outage began.
+constexpr double kMinExpiryHeartbeats = 1.75;
+
 }  // namespace
 
 void ConfirmView(Freshness& freshness, base::TimePoint at) {
@@ -42,4 +48,8 @@
   freshness.next_direct_read_at = now + kMinDirectReadDelay * (1 << doublings);
 }
 
+bool MayExpireEntries(base::Duration outage, base::Duration heartbeat) {
+  return outage >= base::Scale(heartbeat, kMinExpiryHeartbeats);
+}
+
 }  // namespace poplarfork::fleet
--- a/src/fleet/freshness_func.h
+++ b/src/fleet/freshness_func.h
@@ -25,4 +25,9 @@
 // that all daemons together do not load a store that is down.
 void DelayDirectReads(Freshness& freshness, base::TimePoint now);
 
+// Returns whether entries of upstreams may expire in an outage of the store of
+// this length. `heartbeat` is the interval at which upstreams write their
+// entries.
+bool MayExpireEntries(base::Duration outage, base::Duration heartbeat);
+
 }  // namespace poplarfork::fleet
--- a/src/gateway/settings_table.cc
+++ b/src/gateway/settings_table.cc
@@ -30,6 +30,8 @@
 };
 
 constexpr std::array kDurationEntries = {
+    Time{"upstream_heartbeat", 10 * kMillisecond, 600 * kSecond,
+         1500 * kMillisecond, &Settings::upstream_heartbeat},
     Time{"grace_time", kSecond, 3600 * kSecond, 6 * kSecond,
          &Settings::grace_time},
     Time{"address_ttl_limit", 100 * kMillisecond, 600 * kSecond, 5 * kSecond,
--- a/src/gateway/settings_type.h
+++ b/src/gateway/settings_type.h
@@ -31,6 +31,8 @@
   // sends its first Hellos to them, at the port of its own peer address.
   std::vector<std::string> seeds;
 
+  // Interval at which upstreams write their entries into the store.
+  base::Duration upstream_heartbeat{};
   // Time after SIGTERM after which the process is killed.
   base::Duration grace_time{};
   // Upper limit of the time for which callers may use the addresses of
--- a/src/gateway/startup.cc
+++ b/src/gateway/startup.cc
@@ -73,6 +73,8 @@
        {"front_address", gateway.settings.front_address},
        {"peer_address", gateway.settings.peer_address},
        {"store_address", gateway.settings.store_address},
+       {"upstream_heartbeat_ms",
+        ToMilliseconds(gateway.settings.upstream_heartbeat)},
        {"seed", seed}});
   StartStoreClient(gateway);
   SendHellosToReaders(gateway);
--- a/src/gateway/store_call.h
+++ b/src/gateway/store_call.h
@@ -19,6 +19,9 @@
   unsigned status = 0;
   std::string body;
   std::string error;
+  // Only the connection was lost; nothing is known about the store. The call
+  // may be made again at once and then gets a new connection.
+  bool is_connection_lost = false;
 };
 
 // Sends one call to the store and passes the result to `on_end`. A failed call
@@ -33,4 +36,8 @@
 // the gateways do not all call the store at the same time after an outage.
 base::Duration RandomStoreRetryDelay(Gateway& gateway);
 
+// Returns the delay before a read that ended with `response` is tried again. It
+// is short if only the connection was lost.
+base::Duration ReadRetryDelay(Gateway& gateway, const StoreResponse& response);
+
 }  // namespace poplarfork::gateway
--- a/src/gateway/store_client_state_type.h
+++ b/src/gateway/store_client_state_type.h
@@ -18,9 +18,13 @@
   base::TimePoint read_round_started_at{};
   // When a call to the store last succeeded; zero if never.
   base::TimePoint last_success{};
+  // When connections to the store were last lost. Calls that began earlier may
+  // have used them, so their failures say nothing about the store.
+  base::TimePoint connections_lost_at{};
   // The last call to the store failed, and this has been logged.
   bool failing = false;
-  // When the last outage of the store ended; zero if there was none.
+  // When the last time ended in which the store may have been unavailable for
+  // long enough that entries expired; zero if there was none.
   base::TimePoint recovered_at{};
   // When another daemon last sent a Hello, by which it asks this daemon to be
   // its store reader.
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -44,7 +44,6 @@
 constexpr base::Duration kExpiredEntryGrace = std::chrono::milliseconds(2200);
 
 void StartReadRound(Gateway& gateway);
-void ScheduleConfigurationRead(Gateway& gateway);
 
 bool HasKeyPrefix(const StoreItem& item, std::string_view prefix) {
   return item.key.starts_with(prefix);
@@ -63,8 +62,8 @@
   bool configuration_changed = false;
 };
 
-// Returns whether a store outage ended so recently that upstreams may still
-// write expired entries again.
+// Returns whether entries may have expired in a store outage that ended so
+// recently that upstreams may still write them again.
 bool IsInRecoveryGrace(const Gateway& gateway, base::TimePoint now) {
   return gateway.store.recovered_at != base::TimePoint{} &&
          now - gateway.store.recovered_at < kExpiredEntryGrace;
@@ -231,7 +230,16 @@
   fleet::ConfirmView(gateway.freshness, std::min(clock::Now(), answered_by));
 }
 
-// Schedules the next read round after one that failed.
+// Schedules the next read round after a watch that failed. A watch that lost
+// its connection is repeated at once: what it missed may bind this daemon
+// already.
+void RetryWatch(Gateway& gateway, const StoreResponse& response) {
+  if (!response.is_connection_lost)
+    fleet::DelayDirectReads(gateway.freshness, clock::Now());
+  ScheduleReadRound(gateway, ReadRetryDelay(gateway, response));
+}
+
+// Schedules the next read round after a listing that failed.
 void RetryReadRound(Gateway& gateway) {
   fleet::DelayDirectReads(gateway.freshness, clock::Now());
   ScheduleReadRound(gateway, RandomStoreRetryDelay(gateway));
@@ -302,7 +310,7 @@
       Log(gateway, "store_answer_unreadable",
           {{"call", "watch"},
            {"error", base::ToString(parsed_changes.error())}});
-    RetryReadRound(gateway);
+    RetryWatch(gateway, response);
     return;
   }
   Changes changes;
@@ -352,8 +360,8 @@
             });
 }
 
-void ScheduleConfigurationRead(Gateway& gateway) {
-  gateway.configuration_timer.expires_after(RandomStoreRetryDelay(gateway));
+void ScheduleConfigurationRead(Gateway& gateway, base::Duration delay) {
+  gateway.configuration_timer.expires_after(delay);
   gateway.configuration_timer.async_wait(
       [&gateway](const boost::system::error_code& error) {
         if (!error)
@@ -391,7 +399,8 @@
               if (response.status == 404)
                 return;
               if (response.status != 200 || !item) {
-                ScheduleConfigurationRead(gateway);
+                ScheduleConfigurationRead(gateway,
+                                          ReadRetryDelay(gateway, response));
                 return;
               }
               if (InstallConfiguration(gateway, item.value().value, "store"))
--- a/tests/fleet/freshness_test.cc
+++ b/tests/fleet/freshness_test.cc
@@ -32,6 +32,16 @@
   BOOST_TEST(IsDirectReadDue(freshness, kNow + milliseconds(1500)));
 }
 
+// Guards against removals that are taken for expired entries after an outage
+// that was too short, and against the reverse.
+BOOST_AUTO_TEST_CASE(EntriesExpireInLongOutagesOnly) {
+  // The entry of an upstream that missed its write because the outage began
+  // expires two heartbeats later at the earliest.
+  BOOST_TEST(!MayExpireEntries(milliseconds(2500), milliseconds(1500)));
+  BOOST_TEST(MayExpireEntries(milliseconds(3000), milliseconds(1500)));
+  BOOST_TEST(MayExpireEntries(milliseconds(2500), milliseconds(500)));
+}
+
 // Guards against calls of all daemons that load a store which is down.
 BOOST_AUTO_TEST_CASE(FailedDirectReadsBecomeRare) {
   Freshness freshness;
--- a/tests/gateway/fleet_fixture.cc
+++ b/tests/gateway/fleet_fixture.cc
@@ -67,6 +67,7 @@
   settings.directory_address = "127.0.0.1:0";
   settings.peer_address = "127.0.0.1:0";
   settings.store_address = standin::ListeningAddress(*this->store->server);
+  settings.upstream_heartbeat = std::chrono::milliseconds(1500);
   settings.grace_time = std::chrono::seconds(6);
   settings.address_ttl_limit = std::chrono::seconds(5);
   settings.retry_ratio = 0.2;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -10,6 +10,7 @@
 #include "gateway/peer_driver.h"
 #include "gateway/shutdown.h"
 #include "gateway/store_listing.h"
+#include "standin/http_server_func.h"
 #include "tests/gateway/fleet_fixture.h"
 #include "tests/support/scripted_upstream.h"
 
@@ -349,6 +350,66 @@
   }));
 }
 
+// Fleet whose connections to the store go silent while the entry of u1 is
+// removed by a store that is available all the time.
+struct SilentConnectionsFleet : TwoGatewayFleet {
+  // Returns a gateway that has read the removal.
+  const Gateway& LoseRemoval() {
+    standin::SilenceConnections(*this->store->server, nullptr);
+    return this->Remove();
+  }
+
+  const Gateway& Remove() {
+    standin::RemovePlatformItem(*this->store, "servers/u1");
+    const fleet::StoreRevision removal{this->store->revision};
+    const auto has_read = [removal](const Gateway* gateway) {
+      return gateway->view.as_of >= removal;
+    };
+    BOOST_REQUIRE(this->RunUntil(
+        [&] { return has_read(this->first) || has_read(this->second); }));
+    return has_read(this->first) ? *this->first : *this->second;
+  }
+};
+
+// Guards against an upstream that has left and stays in use because a lost
+// connection to the store counted as an outage in which entries expire.
+BOOST_FIXTURE_TEST_CASE(RemovalsAreAppliedAfterLostConnections,
+                        SilentConnectionsFleet) {
+  const Gateway& gateway = this->LoseRemoval();
+  BOOST_TEST(HasUpstreamCount(gateway, 1));
+  BOOST_TEST(gateway.store.deferred_removals.empty());
+  BOOST_TEST(this->RunUntil([this] {
+    return HasUpstreamCount(*this->first, 1) &&
+           HasUpstreamCount(*this->second, 1);
+  }));
+}
+
+// Guards against the same after waiting watches were cut.
+BOOST_FIXTURE_TEST_CASE(RemovalsAreAppliedAfterCutWatches,
+                        SilentConnectionsFleet) {
+  BOOST_REQUIRE(
+      this->RunUntil([this] { return this->store->watches.size() == 2; }));
+  standin::ResetConnections(*this->store->server);
+  this->store->watches.clear();
+  const Gateway& gateway = this->Remove();
+  BOOST_TEST(HasUpstreamCount(gateway, 1));
+  BOOST_TEST(gateway.store.deferred_removals.empty());
+}
+
+// Guards against live upstreams that are removed because an outage of the store
+// that let their entries expire looked like a lost connection.
+BOOST_FIXTURE_TEST_CASE(EntriesThatMayHaveExpiredUnseenAreKept,
+                        SilentConnectionsFleet) {
+  for (Gateway* gateway : {this->first, this->second})
+    gateway->settings.upstream_heartbeat = milliseconds(500);
+  const Gateway& gateway = this->LoseRemoval();
+  BOOST_TEST(HasUpstreamCount(gateway, 2));
+  this->WriteEntry(*this->upstreams.at("u1"), "ready");
+  this->RunFor(milliseconds(2500));
+  BOOST_TEST(HasUpstreamCount(*this->first, 2));
+  BOOST_TEST(HasUpstreamCount(*this->second, 2));
+}
+
 // Guards against changes that are missed when the store has dropped the history
 // that a watch would continue from.
 BOOST_FIXTURE_TEST_CASE(StoreIsListedAgainAfterHistoryLoss, TwoGatewayFleet) {
