--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -495,6 +495,32 @@
   }));
 }
 
+// Guards against an entry of another writer whose names make the records of all
+// upstreams too long to be sent to other daemons.
+BOOST_AUTO_TEST_CASE(OddEntriesDoNotKeepRecordsFromOthers) {
+  FleetFixture fleet;
+  fleet.WriteConfiguration(1);
+  fleet.AddUpstream("u1");
+  Gateway& cut_off = fleet.AddGateway();
+  fleet.AddGateway();
+  fleet.AddGateway();
+  BOOST_REQUIRE(fleet.RunUntil([&] {
+    return cut_off.view.members.size() == 3 && IsAccepting(cut_off);
+  }));
+  cut_off.settings.store_address = "127.0.0.1:1";
+  const std::string long_name(70000, 's');
+  standin::PutPlatformItem(
+      *fleet.store, "servers/odd",
+      standin::MakePlatformUpstreamEntry(*fleet.upstreams.at("u1"), long_name,
+                                         "ready", 1));
+  standin::PutPlatformItem(*fleet.store, "servers/deep",
+                           std::string(1024 * 1024, '['));
+  fleet.AddUpstream("u2");
+  BOOST_TEST(fleet.RunUntil([&] { return HasUpstreamCount(cut_off, 2); }));
+  for (const auto& gateway : fleet.gateways)
+    BOOST_TEST(HasUpstreamCount(*gateway, 2));
+}
+
 // Guards against a daemon that has an old configuration because the store
 // readers' calls hang: it must not wait until they find that out.
 BOOST_AUTO_TEST_CASE(DaemonsReadTheStoreWhileReadersHang) {
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -72,6 +72,51 @@
   BOOST_TEST(!ParseUpstreamEntry("i-1", "[]", kNow));
 }
 
+// Guards against entries of other writers that end or block the daemons that
+// read them: nested more deeply than the memory of a small VM allows, with
+// numbers that fit no type, or with names that fit no datagram or header field.
+BOOST_AUTO_TEST_CASE(EntriesOfOtherWritersNameNoUpstream) {
+  constexpr std::size_t kMegabyte = 1024 * 1024;
+  const std::string entry = kUpstreamEntry;
+  const std::string odd_entries[] = {
+      std::string(kMegabyte, '['),
+      std::string(kMegabyte / 2, '[') + std::string(kMegabyte / 2, ']'),
+      ReplaceFirst(entry, "{",
+                   R"({"x":")" + std::string(kMegabyte, 'x') + R"(",)"),
+      ReplaceFirst(entry, R"("slots":6)", R"("slots":1e999)"),
+      ReplaceFirst(entry, R"("slots":6)", R"("slots":18446744073709551616)"),
+      ReplaceFirst(entry, R"("slots":6)",
+                   R"("slots":)" + std::string(4000, '9')),
+      ReplaceFirst(entry, "10.0.0.9:8080", "10.0.0.9:65536"),
+      ReplaceFirst(entry, "10.0.0.9:8080", "10.0.0.9:18446744073709551696"),
+      ReplaceFirst(entry, "10.0.0.9:8080", "10.0.0.9:-1"),
+      ReplaceFirst(entry, "10.0.0.9:8080", "10.0.0.9:0"),
+      ReplaceFirst(entry, "10.0.0.9:8080", "10.0.0.256:80"),
+      ReplaceFirst(entry, R"("service":"s")",
+                   R"("service":")" + std::string(5000, 's') + '"'),
+      ReplaceFirst(entry, R"("zone":"a")",
+                   R"("zone":")" + std::string(5000, 'a') + '"'),
+  };
+  for (const std::string& odd_entry : odd_entries)
+    BOOST_TEST(!ParseUpstreamEntry("i-1", odd_entry, kNow),
+               odd_entry.substr(0, 200));
+  for (const std::string id : {"", "i 1", "i-1\r\nX: y", "i\x7f", "i\xc3\xa4"})
+    BOOST_TEST(!ParseUpstreamEntry(id, entry, kNow), id);
+  BOOST_TEST(!ParseUpstreamEntry(std::string(256, 'i'), entry, kNow));
+  const auto deep =
+      ParseUpstreamEntry("i-1",
+                         ReplaceFirst(entry, "{",
+                                      R"({"x":)" + std::string(4000, '[') +
+                                          std::string(4000, ']') + ","),
+                         kNow);
+  BOOST_TEST(deep.has_value());
+  for (const char* warm_up : {R"("1e308s")", R"("99999999999999999999s")", "7"})
+    BOOST_TEST(ParseUpstreamEntry(
+                   "i-1", ReplaceFirst(entry, R"("1500ms")", warm_up), kNow)
+                   .has_value(),
+               warm_up);
+}
+
 // Guards against a route, its type, its objective or the limits being lost when
 // a configuration is decoded.
 BOOST_AUTO_TEST_CASE(ConfigurationsAreDecoded) {
