List the store when its changes are too large to be read

A watch returns all changes since a revision, without a limit of size. When another writer wrote a value of a megabyte ten times between two reads, the response exceeded the 8 MiB that a daemon accepts. The call counted as failed and was repeated from the same revision, so that daemons learned nothing more (ChangesTooLargeToReadAreListed, fails on the code before).

Change: a response that is too large counts as an answer of the store, and everything is listed page by page, as after a loss of history. The line store_history_lost tells both apart by its new member status.

Result: the test passes.

--- a/src/gateway/store_call.cc
+++ b/src/gateway/store_call.cc
@@ -121,10 +121,11 @@
       gateway.metrics,
       "store_calls_total{status=\"" + std::to_string(response.status) + "\"}");
   response.is_connection_lost =
+      !response.is_too_large &&
       IsConnectionLoss(gateway.store, response, end, started_at);
   if (response.is_connection_lost)
     RecordConnectionLoss(gateway, response, started_at, now);
-  else if (IsStoreUnavailable(response.status))
+  else if (IsStoreUnavailable(response.status) && !response.is_too_large)
     RecordUnavailable(gateway, response, now);
   else
     RecordAvailable(gateway, now);
@@ -147,6 +148,7 @@
        on_end = std::move(on_end)](upstream::BufferedResponse response) {
         StoreResponse store_response;
         store_response.error = response.end.error.message();
+        store_response.is_too_large = response.is_too_large;
         if (response.IsComplete()) {
           store_response.status = response.header.result_int();
           store_response.body = std::move(response.body);
--- a/src/gateway/store_call.h
+++ b/src/gateway/store_call.h
@@ -19,6 +19,8 @@
   unsigned status = 0;
   std::string body;
   std::string error;
+  // The response is larger than the limit. The store answered the call.
+  bool is_too_large = false;
   // Only the connection was lost; nothing is known about the store. The call
   // may be made again at once and then gets a new connection.
   bool is_connection_lost = false;
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -298,9 +298,12 @@
 }
 
 void OnWatchResponse(Gateway& gateway, const StoreResponse& response) {
-  if (response.status == 410) {
+  // A watch has no limit, unlike a page of a listing: large values that are
+  // written often would make every repetition of it too large as well.
+  if (response.status == 410 || response.is_too_large) {
     Log(gateway, "store_history_lost",
-        {{"known_to_revision", gateway.view.as_of.value}});
+        {{"known_to_revision", gateway.view.as_of.value},
+         {"status", response.status}});
     ListStore(gateway);
     return;
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -521,6 +521,19 @@
     BOOST_TEST(HasUpstreamCount(*gateway, 2));
 }
 
+// Guards against daemons that read the same changes again and again because
+// these are larger than what they accept in one response.
+BOOST_FIXTURE_TEST_CASE(ChangesTooLargeToReadAreListed, TwoGatewayFleet) {
+  const std::string large_value(1024 * 1024, 'x');
+  for (int i = 0; i < 10; ++i)
+    standin::PutPlatformItem(*this->store, "servers/odd", large_value);
+  this->AddUpstream("u3");
+  BOOST_TEST(this->RunUntil([this] {
+    return HasUpstreamCount(*this->first, 3) &&
+           HasUpstreamCount(*this->second, 3);
+  }));
+}
+
 // Guards against a daemon that has an old configuration because the store
 // readers' calls hang: it must not wait until they find that out.
 BOOST_AUTO_TEST_CASE(DaemonsReadTheStoreWhileReadersHang) {
