Test repeated refusals on kept connections and headers that break off

Two failures that other operators reported: a faulty upstream writes an earlier refusal once more on a kept connection, and callers are told that a request that ran has not run, or it runs twice; an upstream stops in the middle of a header and closes, and callers get a short 200.

Neither can be shown here. A repeated refusal bears the id of the earlier request and counts as an invalid response, after which nothing is promised; a request that may run once always gets a new connection. A header that ends at any of its bytes gives no complete response, for five kinds of header.

--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -27,6 +27,13 @@
   return response;
 }
 
+Response MakeRefusal(const PlatformUpstream& upstream,
+                     const std::string& request_id) {
+  Response response = MakeResponse(upstream, request_id, 503);
+  response.headers.push_back({"Not-Executed", "1"});
+  return response;
+}
+
 void SendTruncatedBody(const HttpConnectionPtr& connection,
                        const std::string& request_id) {
   SendBytes(connection,
@@ -66,6 +73,10 @@
                     "extra",
                 [connection](bool) { FinishResponse(connection); });
       return;
+    case Fault::kRepeatedRefusal:
+      SendResponse(connection,
+                   MakeRefusal(upstream, upstream.refused_request_id));
+      return;
     case Fault::kNone:
     case Fault::kShed:
     case Fault::kHang:
@@ -117,10 +128,12 @@
     return;
   }
   upstream->last_deadline_ms = HeaderValue(*connection, "Deadline-Ms");
-  if (upstream->fault == Fault::kShed) {
-    Response response = MakeResponse(*upstream, request_id, 503);
-    response.headers.push_back({"Not-Executed", "1"});
-    SendResponse(connection, response);
+  const bool is_refused = upstream->fault == Fault::kShed ||
+                          (upstream->fault == Fault::kRepeatedRefusal &&
+                           upstream->refused_request_id.empty());
+  if (is_refused) {
+    upstream->refused_request_id = request_id;
+    SendResponse(connection, MakeRefusal(*upstream, request_id));
     return;
   }
   StartRequestRun(upstream, connection, request_id);
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -36,6 +36,9 @@
   kUnavailableWithoutPromise,
   // Sends two responses to one request.
   kDuplicateResponse,
+  // Refuses the first request as kShed does, and answers each later one with
+  // that refusal once more, although it runs the request.
+  kRepeatedRefusal,
 };
 
 // A stand-in of an upstream that is registered in the platform's store. Its
@@ -53,6 +56,8 @@
   // A request with this path crashes the upstream as soon as it runs: all
   // connections are reset and new ones are refused. Empty for no request.
   std::string crash_path;
+  // Request id of the request that kRepeatedRefusal has refused.
+  std::string refused_request_id;
   // Number of runs by request id.
   std::map<std::string, int> run_counts;
   // Number of runs whose caller closed the connection before the response.
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -176,6 +176,27 @@
   }
 }
 
+// Guards against callers that are told that their requests have not run, and
+// orders that run again, because an upstream repeats the refusal of an earlier
+// request on a kept connection.
+BOOST_FIXTURE_TEST_CASE(RepeatedRefusalsPromiseNothing, TwoGatewayFleet) {
+  this->SetFault(Fault::kRepeatedRefusal);
+  int orders_run = 0;
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const CallerResponse response = this->SendAndWait(
+        *this->first, {.request_id = id, .is_order = i % 3 == 2});
+    const int runs = CountRuns(*this, id);
+    BOOST_TEST((runs == 0 || response.status == 502),
+               id << " got " << response.status << " after " << runs);
+    if (i % 3 == 2) {
+      BOOST_TEST(runs <= 1, id);
+      orders_run += runs;
+    }
+  }
+  BOOST_TEST(orders_run >= 3);
+}
+
 // Guards against a caller that is not told with a 503 and a Retry-After field
 // that its request did not run, after every upstream refused the request, and
 // against this promise being false.
--- a/tests/upstream/exchange_test.cc
+++ b/tests/upstream/exchange_test.cc
@@ -124,6 +124,36 @@
   BOOST_TEST(!!outcome.end.error);
 }
 
+// Guards against a header that the upstream has broken off and that is taken
+// for a complete response, wherever it ends.
+BOOST_AUTO_TEST_CASE(TruncatedHeaderIsNotComplete) {
+  // Bodies with a length, in chunks, of no length and empty.
+  const std::string headers[] = {
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 5\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nConnection: close\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nAttempt-Id: a\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+  };
+  for (const std::string& header : headers) {
+    for (std::size_t size = 1; size < header.size(); ++size) {
+      ExchangeFixture fixture;
+      ScriptedUpstream upstream(
+          fixture.loop, [&](ScriptedConnection& connection) {
+            boost::asio::write(connection.socket,
+                               boost::asio::buffer(header.data(), size));
+            connection.socket.close();
+            return std::string();
+          });
+      const ExchangeOutcome outcome = fixture.RunExchange(
+          upstream.GetAddress(), ConnectionReuse::kForbidden);
+      BOOST_TEST((outcome.end.progress != Progress::kComplete),
+                 header.substr(0, size));
+      BOOST_TEST(outcome.status == 0U);
+    }
+  }
+}
+
 // Guards against a failed connect that is reported as a request that may have
 // been sent.
 BOOST_AUTO_TEST_CASE(RefusedConnectionSendsNothing) {
