Wait for all daemons in the test of odd entries

OddEntriesDoNotKeepRecordsFromOthers failed once in a run of all gateway tests: it waited for the daemon without a store and then checked the other two, each of which gets its own datagram, without waiting. It now waits for all three; what it requires is the same.

--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -537,9 +537,11 @@
   standin::PutPlatformItem(*fleet.store, "servers/deep",
                            std::string(1024 * 1024, '['));
   fleet.AddUpstream("u2");
-  BOOST_TEST(fleet.RunUntil([&] { return HasUpstreamCount(cut_off, 2); }));
-  for (const auto& gateway : fleet.gateways)
-    BOOST_TEST(HasUpstreamCount(*gateway, 2));
+  BOOST_TEST(fleet.RunUntil([&] {
+    return std::all_of(
+        fleet.gateways.begin(), fleet.gateways.end(),
+        [](const auto& gateway) { return HasUpstreamCount(*gateway, 2); });
+  }));
 }
 
 // Guards against daemons that read the same changes again and again because
