Leave upstreams that say in their responses that they are leaving

Upstreams now say in all their responses that they leave (Server-Leaving). Only the store's view was obeyed: while it was away, or the entry stayed ready, requests went on to an upstream that had said so until it ended.

Change: the gateway that receives such a response marks the upstream's incarnation and returns grants for it, with the reason; its report tells the dispatcher, which places nothing there any more, for any gateway; digests carry the mark to the next in rank. Health probes count as responses.

Weighed: the dispatcher alone does not bind a gateway whose dispatcher has not heard yet or has just changed; the gateway alone lets every other gateway learn for itself, each with requests that may be lost at the end; a datagram to all gateways costs one for each of them and upstream and tells nobody who places requests anything new. Both, without the datagram, cost one returned grant at most for each gateway that knew first.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -162,6 +162,7 @@
     entry.set_incarnation(upstream.incarnation.value);
     entry.set_fault_probability(static_cast<float>(upstream.fault_probability));
     entry.set_suspended(upstream.suspended);
+    entry.set_leaving(upstream.leaving);
     entry.set_running(upstream.running_count);
     entry.set_slowness(static_cast<float>(upstream.slowness));
     entry.set_uncovered_ms(ToMilliseconds(upstream.uncovered_for));
@@ -181,6 +182,7 @@
   body.set_attempt(report.attempt_id.value);
   body.set_upstream(report.upstream.value);
   body.set_outcome(static_cast<std::uint32_t>(report.outcome));
+  body.set_leaving(report.upstream_is_leaving);
   body.set_duration_us(ToMicroseconds(report.duration));
   body.set_has_load(report.has_reported_load);
   body.set_running(report.reported_load.running);
@@ -313,6 +315,7 @@
   report.attempt_id = {body.attempt()};
   report.upstream = {body.upstream()};
   report.outcome = static_cast<dispatch::Outcome>(body.outcome());
+  report.upstream_is_leaving = body.leaving();
   report.duration = ToDuration(body.duration_us());
   report.has_reported_load = body.has_load();
   report.reported_load = {body.running(), body.waiting(), body.slots()};
@@ -331,6 +334,7 @@
          {upstream.incarnation()},
          upstream.fault_probability(),
          upstream.suspended(),
+         upstream.leaving(),
          upstream.running(),
          upstream.slowness(),
          std::chrono::milliseconds(upstream.uncovered_ms())});
--- a/src/dispatch/action_type.h
+++ b/src/dispatch/action_type.h
@@ -52,6 +52,12 @@
   base::Duration since_break{};
 };
 
+// Reports for the log that a daemon has told that an upstream is leaving.
+struct LeavingLearned {
+  base::UpstreamId upstream;
+  base::DaemonId told_by;
+};
+
 // Reports a change of an upstream's health status for the log and the metrics.
 // `health_status` is the value that is written there: "trusted"
 // (HealthStatus::kHealthy), "suspended" or "trial".
@@ -70,6 +76,7 @@
                             SendRefusal,
                             StartProbe,
                             CrashCounted,
+                            LeavingLearned,
                             HealthStatusChanged>;
 using Actions = std::vector<Action>;
 
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -9,6 +9,7 @@
 #include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
 #include "dispatch/handover_func.h"
+#include "dispatch/leaving_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/placement_func.h"
 #include "dispatch/running_attempt_func.h"
@@ -241,6 +242,9 @@
   }
   const RunningAttempt attempt = found->second;
   dispatcher.running_attempts.erase(found);
+  if (report.upstream_is_leaving &&
+      MarkLeaving(dispatcher, attempt.upstream, attempt.incarnation, now))
+    actions.push_back(LeavingLearned{attempt.upstream, daemon});
   const auto shard = dispatcher.shards.find(attempt.shard);
   if (shard == dispatcher.shards.end())
     return actions;
@@ -278,7 +282,9 @@
                          base::TimePoint now,
                          base::Rng& rng) {
   Actions actions;
-  const fleet::UpstreamEntry& entry = record.entry;
+  const fleet::UpstreamEntry entry =
+      record.removed ? record.entry
+                     : ApplyLeavingMark(dispatcher, record.entry);
   if (record.removed)
     dispatcher.upstreams.erase(entry.id);
   else
@@ -323,6 +329,7 @@
   Actions actions;
   CheckRunningAttempts(dispatcher, now, actions);
   ExpireCrashRecords(dispatcher, now);
+  ExpireLeavingMarks(dispatcher, now);
   ExpireShards(dispatcher, now);
   ExpireDigests(dispatcher, now);
   for (auto& [shard, shard_state] : dispatcher.shards) {
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -62,6 +62,13 @@
   base::TimePoint admitted_at = base::TimePoint::max();
 };
 
+// An upstream that has said in a response that it is leaving.
+struct LeavingMark {
+  // Zero until it is known.
+  base::Incarnation incarnation;
+  base::TimePoint learned_at{};
+};
+
 // When a daemon last received a response from each upstream, and when an
 // attempt of the daemon last failed at each upstream.
 struct DaemonState {
@@ -107,6 +114,7 @@
   std::map<fleet::Shard, ShardState> shards;
   std::map<AttemptKey, RunningAttempt> running_attempts;
   std::unordered_map<Fingerprint, CrashRecord> crashes;
+  std::map<base::UpstreamId, LeavingMark> leaving;
   std::map<base::DaemonId, DaemonState> daemons;
   // Digests of shards for which this daemon is the next in rank.
   std::map<fleet::Shard, ReceivedDigest> digests;
--- a/src/dispatch/handover_func.cc
+++ b/src/dispatch/handover_func.cc
@@ -6,6 +6,7 @@
 #include "dispatch/admission_func.h"
 #include "dispatch/coverage_func.h"
 #include "dispatch/fault_estimate_func.h"
+#include "dispatch/leaving_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -114,7 +115,8 @@
     digest.upstreams.push_back(
         {id, upstream.entry.incarnation, FaultProbability(upstream, now),
          upstream.health_status == HealthStatus::kSuspended,
-         upstream.running_count, upstream.slowness, now - upstream.covered_at});
+         IsLeaving(dispatcher, id), upstream.running_count, upstream.slowness,
+         now - upstream.covered_at});
   for (const auto& [work_class, stats] : shard_state.duration_stats) {
     if (stats.samples >= kDigestSamples)
       digest.durations.push_back(
@@ -138,6 +140,10 @@
       found->second.digest.sequence >= digest.sequence &&
       now - found->second.received_at < kMaxDigestAge)
     return false;
+  for (const UpstreamDigest& upstream : digest.upstreams) {
+    if (upstream.leaving)
+      MarkLeaving(dispatcher, upstream.id, upstream.incarnation, now);
+  }
   dispatcher.digests[digest.shard] = {from, digest, now};
   return true;
 }
--- a/src/dispatch/handover_type.h
+++ b/src/dispatch/handover_type.h
@@ -16,6 +16,8 @@
   // Probability that the upstream has a gray failure.
   double fault_probability = 0;
   bool suspended = false;
+  // The upstream has said that it is leaving.
+  bool leaving = false;
   std::uint32_t running_count = 0;
   double slowness = 1;
   // Time since which no request has been sent to the upstream.
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -150,6 +150,8 @@
   AttemptId attempt_id;
   base::UpstreamId upstream;
   Outcome outcome = Outcome::kUnused;
+  // The upstream has said that it is leaving.
+  bool upstream_is_leaving = false;
   // Time from the start of sending the request until the response was complete.
   base::Duration duration{};
   bool has_reported_load = false;
--- a/src/dispatch/running_attempt_func.cc
+++ b/src/dispatch/running_attempt_func.cc
@@ -88,6 +88,7 @@
   attempt.daemon = daemon;
   attempt.attempt_id = slot_request.attempt_id;
   attempt.upstream = upstream.entry.id;
+  attempt.incarnation = upstream.entry.incarnation;
   attempt.shard = RequestedShard(slot_request);
   attempt.work_class = slot_request.work_class;
   attempt.must_succeed = MustSucceed(slot_request);
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -16,6 +16,7 @@
   base::DaemonId daemon;
   AttemptId attempt_id;
   base::UpstreamId upstream;
+  base::Incarnation incarnation;
   fleet::Shard shard;
   WorkClass work_class;
   // The request is lost if this attempt fails, see MustSucceed().
--- a/src/gateway/attempt_driver.cc
+++ b/src/gateway/attempt_driver.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "clock/now_func.h"
+#include "gateway/dispatch_driver.h"
 #include "gateway/log_func.h"
 #include "metrics/registry_func.h"
 #include "platform/request_func.h"
@@ -80,6 +81,15 @@
       found->second.max_connections / daemon_count, kMinConnectionsPerUpstream);
 }
 
+// Returns whether the response was sent by the upstream of the attempt for this
+// request.
+bool IsFromUpstream(AttemptResult result) {
+  return result == AttemptResult::kCompleted ||
+         result == AttemptResult::kFailed ||
+         result == AttemptResult::kFailedMisleadingStatus ||
+         result == AttemptResult::kNotRun;
+}
+
 const char* AttemptResultName(AttemptResult result) {
   switch (result) {
     case AttemptResult::kNotConnected:
@@ -158,6 +168,10 @@
         AttemptEnd end;
         end.result = ClassifyAttempt(response, fields, repeatable);
         end.duration = clock::Now() - started_at;
+        end.upstream_is_leaving =
+            fields.is_leaving && IsFromUpstream(end.result);
+        if (end.upstream_is_leaving)
+          LearnLeaving(gateway, attempt.upstream, found_request.request_id);
         end.has_reported_load = fields.reported_load.has_value();
         end.reported_load =
             fields.reported_load.value_or(dispatch::ReportedLoad{});
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -6,6 +6,7 @@
 #include "clock/now_func.h"
 #include "dispatch/dispatcher_func.h"
 #include "dispatch/handover_func.h"
+#include "dispatch/leaving_func.h"
 #include "fleet/shard_func.h"
 #include "fleet/view_func.h"
 #include "gateway/log_func.h"
@@ -69,6 +70,10 @@
   SendToDaemon(gateway, action.to, action.refusal);
 }
 
+double ViewAgeMilliseconds(const Gateway& gateway) {
+  return ToMilliseconds(clock::Now() - gateway.freshness.confirmed_at);
+}
+
 dispatch::ProbeResult ClassifyProbe(
     const dispatch::StartProbe& probe,
     const upstream::BufferedResponse& response) {
@@ -85,6 +90,10 @@
                      const dispatch::StartProbe& probe,
                      const upstream::BufferedResponse& response) {
   const dispatch::ProbeResult result = ClassifyProbe(probe, response);
+  if (response.IsComplete() &&
+      platform::IsFromInstance(response.header, probe.upstream) &&
+      platform::IsLeavingStated(response.header))
+    LearnLeaving(gateway, probe.upstream, "");
   Log(gateway, "probed",
       {{"service", probe.service.value},
        {"upstream", probe.upstream.value},
@@ -146,6 +155,15 @@
   metrics::IncrementCounter(gateway.metrics, "crashes_counted_total");
 }
 
+void ExecuteAction(Gateway& gateway, const dispatch::LeavingLearned& action) {
+  Log(gateway, "upstream_leaving",
+      {{"upstream", action.upstream.value},
+       {"request", ""},
+       {"source", action.told_by.value},
+       {"view_revision", gateway.view.as_of.value},
+       {"view_age_ms", ViewAgeMilliseconds(gateway)}});
+}
+
 void ExecuteActions(Gateway& gateway, const dispatch::Actions& actions) {
   for (const dispatch::Action& action : actions)
     std::visit([&gateway](const auto& body) { ExecuteAction(gateway, body); },
@@ -212,6 +230,25 @@
   dispatch::OnWithdrawal(gateway.dispatcher, from, withdrawal);
 }
 
+void LearnLeaving(Gateway& gateway,
+                  const base::UpstreamId& upstream,
+                  const std::string& request_id) {
+  const auto known = gateway.view.upstreams.find(upstream);
+  const base::Incarnation incarnation = known != gateway.view.upstreams.end()
+                                            ? known->second.entry.incarnation
+                                            : base::Incarnation{};
+  if (!dispatch::MarkLeaving(gateway.dispatcher, upstream, incarnation,
+                             clock::Now()))
+    return;
+  Log(gateway, "upstream_leaving",
+      {{"upstream", upstream.value},
+       {"request", request_id},
+       {"source", request_id.empty() ? "probe" : "response"},
+       {"view_revision", gateway.view.as_of.value},
+       {"view_age_ms", ViewAgeMilliseconds(gateway)}});
+  metrics::IncrementCounter(gateway.metrics, "upstreams_leaving_total");
+}
+
 bool ApplyUpstreamRecord(Gateway& gateway,
                          const fleet::UpstreamRecord& record,
                          const char* source) {
--- a/src/gateway/dispatch_driver.h
+++ b/src/gateway/dispatch_driver.h
@@ -33,4 +33,10 @@
 // that would take over.
 void SendDigests(Gateway& gateway);
 
+// Remembers that an upstream has said that it is leaving, in the response to
+// the caller's request `request_id`, or in a health probe if this is empty.
+void LearnLeaving(Gateway& gateway,
+                  const base::UpstreamId& upstream,
+                  const std::string& request_id);
+
 }  // namespace poplarfork::gateway
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -6,6 +6,7 @@
 #include "base/hash_func.h"
 #include "clock/now_func.h"
 #include "datagram/message_type.h"
+#include "dispatch/leaving_func.h"
 #include "fleet/configuration_func.h"
 #include "fleet/shard_func.h"
 #include "fleet/traffic_split_func.h"
@@ -397,8 +398,24 @@
     SendToDaemon(gateway, from, unused_report);
     return;
   }
+  const RequestNumber number = active_request->state.arrival.number;
+  // The dispatcher may not have heard yet what this daemon knows.
+  if (dispatch::IsLeaving(gateway.dispatcher, grant.upstream)) {
+    Log(gateway, "grant_returned",
+        {{"request", active_request->request_id},
+         {"upstream", grant.upstream.value},
+         {"dispatcher", from.value},
+         {"reason", "leaving"}});
+    metrics::IncrementCounter(gateway.metrics,
+                              "grants_returned_total{reason=\"leaving\"}");
+    ExecuteActions(
+        gateway, number,
+        request::OnGrantOfLeaving(active_request->state, from, grant,
+                                  MakeContext(gateway, number), clock::Now()));
+    return;
+  }
   ExecuteActions(
-      gateway, active_request->state.arrival.number,
+      gateway, number,
       request::OnGrant(active_request->state, from, grant, clock::Now()));
 }
 
--- a/src/request/attempt_end_type.h
+++ b/src/request/attempt_end_type.h
@@ -33,6 +33,8 @@
 struct AttemptEnd {
   AttemptResult result = AttemptResult::kNotConnected;
   base::Duration duration{};
+  // The upstream has said that it is leaving.
+  bool upstream_is_leaving = false;
   bool has_reported_load = false;
   dispatch::ReportedLoad reported_load;
 };
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -24,6 +24,9 @@
 // Number of failed connections after which a request fails. Nothing has been
 // sent on them, so they do not count as retries.
 constexpr std::uint32_t kMaxFailedConnections = 8;
+// Number of returned grants after which a request gives up. The dispatcher
+// learns from each why it was returned, so there is seldom a second one.
+constexpr std::uint32_t kMaxReturnedGrants = 8;
 // Number of dispatchers without a list of upstreams that are skipped.
 constexpr std::uint32_t kMaxNotReadyDispatchers = 3;
 // A retry is not worth its slot unless at least this much time is left.
@@ -130,6 +133,7 @@
   if (end) {
     report.has_reported_load = end->has_reported_load;
     report.reported_load = end->reported_load;
+    report.upstream_is_leaving = end->upstream_is_leaving;
   }
   actions.push_back(SendAttemptReport{attempt.dispatcher, report});
   if (outcome != Outcome::kServed)
@@ -149,14 +153,25 @@
          request.phase == Phase::kRunningAndRequestingSlot;
 }
 
+// Tells whether the grant is the reply to the open slot request.
+bool IsReplyToOpenSlotRequest(const Request& request,
+                              const dispatch::Grant& grant) {
+  return HasOpenSlotRequest(request) &&
+         grant.attempt_id == request.slot_request_id;
+}
+
+dispatch::AttemptReport MakeUnusedReport(const dispatch::Grant& grant) {
+  dispatch::AttemptReport unused;
+  unused.attempt_id = grant.attempt_id;
+  unused.upstream = grant.upstream;
+  return unused;
+}
+
 // Returns a grant's slot to the dispatcher.
 void ReportUnused(const base::DaemonId& from,
                   const dispatch::Grant& grant,
                   Actions& actions) {
-  dispatch::AttemptReport unused;
-  unused.attempt_id = grant.attempt_id;
-  unused.upstream = grant.upstream;
-  actions.push_back(SendAttemptReport{from, unused});
+  actions.push_back(SendAttemptReport{from, MakeUnusedReport(grant)});
 }
 
 void OnDeadline(Request& request, base::TimePoint now, Actions& actions) {
@@ -234,8 +249,7 @@
                 const dispatch::Grant& grant,
                 base::TimePoint now) {
   Actions actions;
-  if (!HasOpenSlotRequest(request) ||
-      grant.attempt_id != request.slot_request_id) {
+  if (!IsReplyToOpenSlotRequest(request, grant)) {
     // This reply belongs to a slot request that has already been settled. If
     // the grant is in use, it is the same grant again; otherwise it is reported
     // as unused, so that its slot is freed.
@@ -273,6 +287,31 @@
   return actions;
 }
 
+Actions OnGrantOfLeaving(Request& request,
+                         const base::DaemonId& from,
+                         const dispatch::Grant& grant,
+                         const Context& context,
+                         base::TimePoint now) {
+  if (!IsReplyToOpenSlotRequest(request, grant) ||
+      request.arrival.deadline <= now)
+    return OnGrant(request, from, grant, now);
+  Actions actions;
+  dispatch::AttemptReport report = MakeUnusedReport(grant);
+  report.upstream_is_leaving = true;
+  actions.push_back(SendAttemptReport{from, report});
+  request.avoid.push_back(grant.upstream);
+  if (++request.returned_grants <= kMaxReturnedGrants) {
+    StartSlotRequest(request, request.slot_request_is_retry, nullptr, context,
+                     now, actions);
+    return actions;
+  }
+  if (request.attempt)
+    request.phase = Phase::kRunning;
+  else
+    FailRequest(request, Failure::kNoUpstream, kDefaultRetryAfter, actions);
+  return actions;
+}
+
 Actions OnQueuedNotice(Request& request,
                        const dispatch::QueuedNotice& notice,
                        base::TimePoint now) {
--- a/src/request/request_func.h
+++ b/src/request/request_func.h
@@ -33,6 +33,15 @@
                 const dispatch::Grant& grant,
                 base::TimePoint now);
 
+// Handles a grant of a slot at an upstream that this daemon knows to be
+// leaving. Returns the slot, tells the dispatcher why, and requests another
+// one.
+Actions OnGrantOfLeaving(Request& request,
+                         const base::DaemonId& from,
+                         const dispatch::Grant& grant,
+                         const Context& context,
+                         base::TimePoint now);
+
 // Handles the dispatcher's notice that the request is queued.
 Actions OnQueuedNotice(Request& request,
                        const dispatch::QueuedNotice& notice,
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -81,6 +81,9 @@
   // Number of attempts in which the request may have reached an upstream.
   std::uint32_t sends = 0;
   std::uint32_t failed_connections = 0;
+  // Number of grants that could not be used because of what this daemon knows
+  // of their upstreams.
+  std::uint32_t returned_grants = 0;
   // Number of ended attempts in which an upstream may have run the request. If
   // there are any, the caller must not be told that the request has not run.
   std::uint32_t possible_runs = 0;
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -24,6 +24,8 @@
   response.headers = {{"Attempt-Id", request_id},
                       {"Instance-Id", upstream.instance_id},
                       {"Backend-Load", "0,0,4"}};
+  if (upstream.is_leaving)
+    response.headers.push_back({"Server-Leaving", "1"});
   return response;
 }
 
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -53,6 +53,8 @@
   std::string address;
   base::Duration service_time{};
   PlatformUpstreamFault fault = PlatformUpstreamFault::kNone;
+  // All responses say that the upstream is leaving.
+  bool is_leaving = false;
   // A request with this path crashes the upstream as soon as it runs: all
   // connections are reset and new ones are refused. Empty for no request.
   std::string crash_path;
--- a/tests/datagram/codec_test.cc
+++ b/tests/datagram/codec_test.cc
@@ -49,9 +49,11 @@
   report.attempt_id = {42};
   report.upstream = {"u1"};
   report.outcome = dispatch::Outcome::kCancelled;
+  report.upstream_is_leaving = true;
   report.has_reported_load = true;
   report.reported_load = {1, 2, 3};
   BOOST_TEST((EncodeAndDecode(report).outcome == report.outcome));
+  BOOST_TEST(EncodeAndDecode(report).upstream_is_leaving);
   BOOST_TEST(EncodeAndDecode(report).reported_load.slots == 3U);
 
   Hello hello;
@@ -88,7 +90,8 @@
   digest.sequence = 5;
   digest.retry_tokens = 2.5;
   digest.request_rate = 80;
-  digest.upstreams = {{{"u1"}, {77}, 0.25, true, 2, 1.5, milliseconds(400)}};
+  digest.upstreams = {
+      {{"u1"}, {77}, 0.25, true, true, 2, 1.5, milliseconds(400)}};
   digest.durations = {{true, 2, milliseconds(260)}};
   const dispatch::ShardDigest decoded_digest = EncodeAndDecode(digest);
   BOOST_TEST((decoded_digest.shard == digest.shard));
@@ -101,6 +104,7 @@
   BOOST_TEST((upstream.incarnation == base::Incarnation{77}));
   BOOST_TEST(upstream.fault_probability == 0.25);
   BOOST_TEST(upstream.suspended);
+  BOOST_TEST(upstream.leaving);
   BOOST_TEST(upstream.running_count == 2U);
   BOOST_TEST(upstream.slowness == 1.5);
   BOOST_TEST((upstream.uncovered_for == milliseconds(400)));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -6,7 +6,9 @@
 #include <vector>
 
 #include "clock/now_func.h"
+#include "dispatch/leaving_func.h"
 #include "fleet/view_func.h"
+#include "gateway/dispatch_driver.h"
 #include "gateway/peer_driver.h"
 #include "gateway/shutdown.h"
 #include "gateway/store_listing.h"
@@ -238,6 +240,99 @@
           .status == 200U);
 }
 
+// Fleet in which u1 says in its responses that it is leaving, while its entry
+// in the store stays ready.
+struct LeavingFleet : TwoGatewayFleet {
+  LeavingFleet() { this->upstreams.at("u1")->is_leaving = true; }
+
+  // Sends requests until a gateway has passed on a response of u1.
+  void SendUntilLeavingIsPassedOn(Gateway& gateway) {
+    for (int i = 0; !dispatch::IsLeaving(gateway.dispatcher, {"u1"}); ++i) {
+      BOOST_REQUIRE(i < 100);
+      const std::string id =
+          gateway.settings.name + "-until-" + std::to_string(i);
+      BOOST_TEST(this->SendAndWait(gateway, {.request_id = id}).status == 200U);
+    }
+  }
+
+  // Sends look-ups and orders, and returns how many requests of any kind u1 has
+  // run meanwhile.
+  int CountRunsAtU1(Gateway& gateway) {
+    const int before = this->TotalRunsAtU1();
+    for (int i = 0; i < 12; ++i) {
+      const std::string id = "n" + std::to_string(this->next_number++);
+      BOOST_TEST(
+          this->SendAndWait(gateway, {.request_id = id, .is_order = i % 2 == 0})
+              .status == 200U);
+    }
+    return this->TotalRunsAtU1() - before;
+  }
+
+  int TotalRunsAtU1() const {
+    int runs = 0;
+    for (const auto& [id, count] : this->upstreams.at("u1")->run_counts)
+      runs += count;
+    return runs;
+  }
+
+  Gateway& Dispatcher() {
+    return fleet::RankMembers(this->first->view, "dispatch:s", 1,
+                              base::TimePoint::max())
+                       .front() == this->first->view.self
+               ? *this->first
+               : *this->second;
+  }
+
+  Gateway& Other(const Gateway& gateway) {
+    return &gateway == this->first ? *this->second : *this->first;
+  }
+
+  int next_number = 0;
+};
+
+// Guards against requests to an upstream that has said that it is leaving, from
+// the gateway that has heard it and from others, whatever the store says.
+BOOST_FIXTURE_TEST_CASE(UpstreamsThatSayTheyLeaveAreLeft, LeavingFleet) {
+  this->SendUntilLeavingIsPassedOn(*this->first);
+  for (Gateway* gateway : {this->first, this->second})
+    BOOST_TEST(this->CountRunsAtU1(*gateway) == 0);
+  this->WriteEntry(*this->upstreams.at("u1"), "ready");
+  this->RunFor(milliseconds(800));
+  for (Gateway* gateway : {this->first, this->second})
+    BOOST_TEST(this->CountRunsAtU1(*gateway) == 0);
+}
+
+// Guards against the same while the store is away.
+BOOST_FIXTURE_TEST_CASE(UpstreamsThatSayTheyLeaveAreLeftDuringOutages,
+                        LeavingFleet) {
+  standin::SetPlatformStoreMode(*this->store, PlatformStoreMode::kSilent);
+  this->SendUntilLeavingIsPassedOn(*this->second);
+  for (Gateway* gateway : {this->first, this->second})
+    BOOST_TEST(this->CountRunsAtU1(*gateway) == 0);
+}
+
+// Guards against grants of a dispatcher that has not heard that the upstream is
+// leaving: the gateway that has heard it returns them, and the dispatcher
+// learns from that.
+BOOST_FIXTURE_TEST_CASE(GrantsOfLeavingUpstreamsAreReturned, LeavingFleet) {
+  Gateway& dispatcher = this->Dispatcher();
+  Gateway& gateway = this->Other(dispatcher);
+  LearnLeaving(gateway, {"u1"}, "x");
+  BOOST_REQUIRE(!dispatch::IsLeaving(dispatcher.dispatcher, {"u1"}));
+  BOOST_TEST(this->CountRunsAtU1(gateway) == 0);
+  BOOST_TEST(dispatch::IsLeaving(dispatcher.dispatcher, {"u1"}));
+}
+
+// Guards against an upstream that is in use again because the dispatcher has
+// failed and the next one has not heard that it is leaving.
+BOOST_FIXTURE_TEST_CASE(LeavingUpstreamsStayLeftAfterHandOver, LeavingFleet) {
+  Gateway& dispatcher = this->Dispatcher();
+  Gateway& successor = this->Other(dispatcher);
+  this->SendUntilLeavingIsPassedOn(successor);
+  dispatcher.peer_channel->Close();
+  BOOST_TEST(this->CountRunsAtU1(successor) == 0);
+}
+
 // Guards against upstreams that go on working on a request whose caller has
 // closed its connection.
 BOOST_FIXTURE_TEST_CASE(RequestsAreCancelledWhenTheCallerDisconnects,
--- a/tests/request/request_test.cc
+++ b/tests/request/request_test.cc
@@ -46,6 +46,14 @@
     this->actions = OnGrant(this->request, this->dispatcher, grant, this->now);
   }
 
+  void GrantSlotAtLeaving(const std::string& upstream) {
+    dispatch::Grant grant;
+    grant.attempt_id = this->request.slot_request_id;
+    grant.upstream = {upstream};
+    this->actions = OnGrantOfLeaving(this->request, this->dispatcher, grant,
+                                     this->context, this->now);
+  }
+
   void EndAttempt(AttemptResult result) {
     AttemptEnd end;
     end.result = result;
@@ -303,4 +311,35 @@
   }
 }
 
+// Guards against a request that is sent to an upstream that is known to be
+// leaving, and against a dispatcher that is not told and grants it again.
+BOOST_AUTO_TEST_CASE(GrantsOfLeavingUpstreamsAreReturned) {
+  RequestFixture fixture(false);
+  fixture.GrantSlotAtLeaving("u0");
+  BOOST_TEST(!fixture.FindAction<StartAttempt>());
+  const auto* report = fixture.FindAction<SendAttemptReport>();
+  BOOST_REQUIRE(report);
+  BOOST_TEST((report->report.outcome == dispatch::Outcome::kUnused));
+  BOOST_TEST(report->report.upstream_is_leaving);
+  const auto* slot_request = fixture.FindAction<SendSlotRequest>();
+  BOOST_REQUIRE(slot_request);
+  BOOST_TEST(!slot_request->slot_request.is_retry);
+  BOOST_REQUIRE(slot_request->slot_request.avoid.size() == 1U);
+  fixture.GrantSlot("u1");
+  BOOST_TEST(fixture.FindAction<StartAttempt>());
+}
+
+// Guards against a request that asks for slots without end when all grants are
+// of leaving upstreams, and against a wrong answer to its caller.
+BOOST_AUTO_TEST_CASE(ManyReturnedGrantsEndTheRequestAsNotRun) {
+  RequestFixture fixture(false);
+  int grants = 0;
+  for (; !fixture.FindAction<RespondWithFailure>() && grants < 100; ++grants)
+    fixture.GrantSlotAtLeaving("u" + std::to_string(grants));
+  BOOST_TEST(grants <= 10);
+  const auto* failure = fixture.FindAction<RespondWithFailure>();
+  BOOST_REQUIRE(failure);
+  BOOST_TEST(failure->not_run);
+}
+
 }  // namespace poplarfork::request
