Send an upstream that turned a gateway away nothing for the time it states

An upstream that refuses with 503 may now state in Retry-After for how long it wants nothing from that gateway. The value was dropped: the upstream got the next request as soon as it looked least busy.

Change: the time is decoded in platform/ (a decimal number of seconds, ten minutes at most, the longest of several; anything else is ignored). The gateway keeps it and returns grants, as for leaving upstreams; the dispatcher keeps it for each pair and leaves the pair out of placement, retries and coverage. The gateway sends no probes either. The requests of a gateway that is turned away do not hold up others in the queue. Where all upstreams of a shard have turned the gateway away, its requests are refused at once, with the time until the first of them takes requests again.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -182,7 +182,8 @@
   body.set_attempt(report.attempt_id.value);
   body.set_upstream(report.upstream.value);
   body.set_outcome(static_cast<std::uint32_t>(report.outcome));
-  body.set_leaving(report.upstream_is_leaving);
+  body.set_leaving(report.notice.is_leaving);
+  body.set_pause_us(ToMicroseconds(report.notice.pause));
   body.set_duration_us(ToMicroseconds(report.duration));
   body.set_has_load(report.has_reported_load);
   body.set_running(report.reported_load.running);
@@ -298,7 +299,7 @@
 
 base::Result<Message> DecodeBody(const proto::FleetRefusal& body) {
   if (body.reason() >
-      static_cast<std::uint32_t>(dispatch::RefusalReason::kExpired))
+      static_cast<std::uint32_t>(dispatch::RefusalReason::kUpstreamsPaused))
     return MakeMalformedError("unknown refusal reason");
   dispatch::Refusal refusal;
   refusal.attempt_id = {body.attempt()};
@@ -315,7 +316,7 @@
   report.attempt_id = {body.attempt()};
   report.upstream = {body.upstream()};
   report.outcome = static_cast<dispatch::Outcome>(body.outcome());
-  report.upstream_is_leaving = body.leaving();
+  report.notice = {body.leaving(), ToDuration(body.pause_us())};
   report.duration = ToDuration(body.duration_us());
   report.has_reported_load = body.has_load();
   report.reported_load = {body.running(), body.waiting(), body.slots()};
--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -129,16 +129,22 @@
   shard_state.queue.insert(position, std::move(queued_request));
 }
 
-std::size_t NextQueuedIndex(const ShardState& shard_state,
-                            base::TimePoint now) {
+std::optional<std::size_t> NextQueuedIndex(
+    const ShardState& shard_state,
+    const std::set<base::DaemonId>& passed_over,
+    base::TimePoint now) {
+  std::optional<std::size_t> first;
   for (std::size_t i = 0; i < shard_state.queue.size(); ++i) {
     const QueuedRequest& queued_request = shard_state.queue[i];
+    if (passed_over.contains(queued_request.daemon))
+      continue;
+    first = first.value_or(i);
     const base::Duration duration = MeanDuration(
         shard_state, queued_request.slot_request.work_class, base::Duration(0));
     if (now + duration <= queued_request.late_at)
       return i;
   }
-  return 0;
+  return first;
 }
 
 bool TryTakeRetryToken(const Settings& settings,
--- a/src/dispatch/admission_func.h
+++ b/src/dispatch/admission_func.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+#include <set>
+
 #include "dispatch/dispatcher_type.h"
 
 namespace poplarfork::dispatch {
@@ -21,9 +24,13 @@
 void Enqueue(ShardState& shard_state, QueuedRequest queued_request);
 
 // Returns the index of the queued request to serve next: the first one that can
-// still complete on time, or the first one if none can. The queue must not be
-// empty.
-std::size_t NextQueuedIndex(const ShardState& shard_state, base::TimePoint now);
+// still complete on time, or the first one if none can. The requests of the
+// daemons in `passed_over` are left out; returns nothing if there are no
+// others.
+std::optional<std::size_t> NextQueuedIndex(
+    const ShardState& shard_state,
+    const std::set<base::DaemonId>& passed_over,
+    base::TimePoint now);
 
 // Takes one retry from the retry budget and returns whether there was one. The
 // load pattern that this handles is many upstreams that shed or fail requests
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -1,6 +1,8 @@
 #include "dispatch/dispatcher_func.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "base/rng_func.h"
@@ -11,6 +13,7 @@
 #include "dispatch/handover_func.h"
 #include "dispatch/leaving_func.h"
 #include "dispatch/outlier_detection_func.h"
+#include "dispatch/pause_func.h"
 #include "dispatch/placement_func.h"
 #include "dispatch/running_attempt_func.h"
 #include "dispatch/shard_state_func.h"
@@ -78,25 +81,30 @@
                     upstream.entry.address, attempt.retry_at - now, waited}});
 }
 
-// Grants free slots to queued requests.
+// Grants free slots to queued requests. Requests of a daemon that is paused at
+// some upstreams do not hold up those of others.
 void ServeQueue(Dispatcher& dispatcher,
                 ShardState& shard_state,
                 base::TimePoint now,
                 base::Rng& rng,
                 Actions& actions) {
-  while (!shard_state.queue.empty()) {
-    const std::size_t next = NextQueuedIndex(shard_state, now);
-    QueuedRequest& queued_request = shard_state.queue[next];
+  std::set<base::DaemonId> passed_over;
+  while (const auto next = NextQueuedIndex(shard_state, passed_over, now)) {
+    QueuedRequest& queued_request = shard_state.queue[*next];
     const Placement placement = PlaceRequest(
         shard_state, queued_request.daemon, queued_request.slot_request,
         dispatcher.settings.floor_share, now, rng);
-    if (!placement.upstream)
-      return;
+    if (!placement.upstream) {
+      if (!IsDaemonPausedAnywhere(shard_state, queued_request.daemon, now))
+        return;
+      passed_over.insert(queued_request.daemon);
+      continue;
+    }
     GrantSlot(dispatcher, shard_state, placement, queued_request.daemon,
               queued_request.slot_request, now - queued_request.queued_at, now,
               actions);
     shard_state.queue.erase(shard_state.queue.begin() +
-                            static_cast<std::ptrdiff_t>(next));
+                            static_cast<std::ptrdiff_t>(*next));
   }
 }
 
@@ -138,6 +146,23 @@
   return true;
 }
 
+// Refuses the request if all upstreams want no requests of its daemon. Returns
+// whether it is refused.
+bool RefuseIfPaused(const ShardState& shard_state,
+                    const base::DaemonId& daemon,
+                    const SlotRequest& slot_request,
+                    base::TimePoint now,
+                    Actions& actions) {
+  const std::optional<base::Duration> pause =
+      PauseOfAllUpstreams(shard_state, daemon, slot_request, now);
+  if (!pause)
+    return false;
+  actions.push_back(
+      SendRefusal{daemon, Refusal{slot_request.attempt_id,
+                                  RefusalReason::kUpstreamsPaused, *pause}});
+  return true;
+}
+
 // Refuses queued requests that can no longer be completed before their
 // deadline.
 void RefuseExpiredRequests(ShardState& shard_state,
@@ -145,6 +170,9 @@
                            base::Rng& rng,
                            Actions& actions) {
   std::erase_if(shard_state.queue, [&](const QueuedRequest& queued_request) {
+    if (RefuseIfPaused(shard_state, queued_request.daemon,
+                       queued_request.slot_request, now, actions))
+      return true;
     const base::Duration duration = MeanDuration(
         shard_state, queued_request.slot_request.work_class, base::Duration(0));
     if (now + base::Scale(duration, kShortDurationShare) <
@@ -210,6 +238,8 @@
               base::Duration(0), now, actions);
     return actions;
   }
+  if (RefuseIfPaused(shard_state, daemon, slot_request, now, actions))
+    return actions;
   if (!MayQueue(shard_state, slot_request)) {
     CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
@@ -242,7 +272,7 @@
   }
   const RunningAttempt attempt = found->second;
   dispatcher.running_attempts.erase(found);
-  if (report.upstream_is_leaving &&
+  if (report.notice.is_leaving &&
       MarkLeaving(dispatcher, attempt.upstream, attempt.incarnation, now))
     actions.push_back(LeavingLearned{attempt.upstream, daemon});
   const auto shard = dispatcher.shards.find(attempt.shard);
@@ -254,6 +284,8 @@
   if (found_upstream == shard_state.upstreams.end())
     return actions;
   UpstreamState& upstream = found_upstream->second;
+  if (report.notice.pause > base::Duration(0))
+    PauseDaemon(upstream, daemon, report.notice.pause, now);
   if (IsNotSent(report.outcome))
     RevokeCoverage(upstream, attempt, now);
   CountLostAttempt(shard_state, attempt, report.outcome, now);
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -102,6 +102,9 @@
   double limit_share = 1;
 };
 
+// Until when each upstream wants no requests of this daemon.
+using UpstreamPauses = std::map<base::UpstreamId, base::TimePoint>;
+
 // Assigns the requests for services to upstreams. Each service or shard has one
 // dispatching daemon in the fleet at a time. If two daemons dispatch for the
 // same shard for a while, the load that upstreams report keeps them from
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -86,6 +86,8 @@
   kNotReady,
   // The request was queued and can no longer be completed before its deadline.
   kExpired,
+  // All upstreams want no requests of the daemon for some time.
+  kUpstreamsPaused,
 };
 
 // The dispatcher refuses a slot request. No attempt has been sent for this slot
@@ -136,6 +138,14 @@
   kRefused,
 };
 
+// What an upstream has said in a response about further requests.
+struct UpstreamNotice {
+  // It is leaving and wants none at all.
+  bool is_leaving = false;
+  // It wants none of the daemon to which it responded for this long.
+  base::Duration pause{};
+};
+
 // Load that an upstream reports in its responses.
 struct ReportedLoad {
   std::uint32_t running = 0;
@@ -150,8 +160,7 @@
   AttemptId attempt_id;
   base::UpstreamId upstream;
   Outcome outcome = Outcome::kUnused;
-  // The upstream has said that it is leaving.
-  bool upstream_is_leaving = false;
+  UpstreamNotice notice;
   // Time from the start of sending the request until the response was complete.
   base::Duration duration{};
   bool has_reported_load = false;
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -6,6 +6,7 @@
 #include "dispatch/coverage_func.h"
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/outlier_detection_func.h"
+#include "dispatch/pause_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -152,6 +153,8 @@
   if (std::find(slot_request.avoid.begin(), slot_request.avoid.end(),
                 upstream.entry.id) != slot_request.avoid.end())
     return false;
+  if (IsDaemonPaused(upstream, daemon, now))
+    return false;
   const auto path_failure = upstream.path_failures.find(daemon);
   return path_failure == upstream.path_failures.end() ||
          path_failure->second.avoid_until <= now;
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -124,6 +124,9 @@
     base::TimePoint avoid_until{};
   };
   std::map<base::DaemonId, PathFailure> path_failures;
+
+  // Until when the upstream wants no requests of a daemon, see pause_func.h.
+  std::map<base::DaemonId, base::TimePoint> paused_daemons;
 };
 
 }  // namespace poplarfork::dispatch
--- a/src/gateway/attempt_driver.cc
+++ b/src/gateway/attempt_driver.cc
@@ -168,10 +168,11 @@
         AttemptEnd end;
         end.result = ClassifyAttempt(response, fields, repeatable);
         end.duration = clock::Now() - started_at;
-        end.upstream_is_leaving =
-            fields.is_leaving && IsFromUpstream(end.result);
-        if (end.upstream_is_leaving)
-          LearnLeaving(gateway, attempt.upstream, found_request.request_id);
+        if (IsFromUpstream(end.result)) {
+          end.notice = fields.notice;
+          LearnNotice(gateway, attempt.upstream, end.notice,
+                      found_request.request_id);
+        }
         end.has_reported_load = fields.reported_load.has_value();
         end.reported_load =
             fields.reported_load.value_or(dispatch::ReportedLoad{});
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -7,6 +7,7 @@
 #include "dispatch/dispatcher_func.h"
 #include "dispatch/handover_func.h"
 #include "dispatch/leaving_func.h"
+#include "dispatch/pause_func.h"
 #include "fleet/shard_func.h"
 #include "fleet/view_func.h"
 #include "gateway/log_func.h"
@@ -85,15 +86,51 @@
              : dispatch::ProbeResult::kUnhealthy;
 }
 
+void LearnLeaving(Gateway& gateway,
+                  const base::UpstreamId& upstream,
+                  const std::string& request_id) {
+  const auto known = gateway.view.upstreams.find(upstream);
+  const base::Incarnation incarnation = known != gateway.view.upstreams.end()
+                                            ? known->second.entry.incarnation
+                                            : base::Incarnation{};
+  if (!dispatch::MarkLeaving(gateway.dispatcher, upstream, incarnation,
+                             clock::Now()))
+    return;
+  Log(gateway, "upstream_leaving",
+      {{"upstream", upstream.value},
+       {"request", request_id},
+       {"source", request_id.empty() ? "probe" : "response"},
+       {"view_revision", gateway.view.as_of.value},
+       {"view_age_ms", ViewAgeMilliseconds(gateway)}});
+  metrics::IncrementCounter(gateway.metrics, "upstreams_leaving_total");
+}
+
+void LearnPause(Gateway& gateway,
+                const base::UpstreamId& upstream,
+                base::Duration pause,
+                const std::string& request_id) {
+  const base::TimePoint now = clock::Now();
+  const bool is_new = dispatch::PauseLeft(gateway.upstream_pauses, upstream,
+                                          now) == base::Duration(0);
+  dispatch::PauseUpstream(gateway.upstream_pauses, upstream, pause, now);
+  if (!is_new)
+    return;
+  Log(gateway, "upstream_paused",
+      {{"upstream", upstream.value},
+       {"request", request_id},
+       {"pause_ms", ToMilliseconds(pause)}});
+  metrics::IncrementCounter(gateway.metrics, "upstreams_paused_total");
+}
+
 // Logs the result of a health probe and passes it to the dispatcher.
 void OnProbeResponse(Gateway& gateway,
                      const dispatch::StartProbe& probe,
                      const upstream::BufferedResponse& response) {
   const dispatch::ProbeResult result = ClassifyProbe(probe, response);
   if (response.IsComplete() &&
-      platform::IsFromInstance(response.header, probe.upstream) &&
-      platform::IsLeavingStated(response.header))
-    LearnLeaving(gateway, probe.upstream, "");
+      platform::IsFromInstance(response.header, probe.upstream))
+    LearnNotice(gateway, probe.upstream,
+                platform::ParseUpstreamNotice(response.header), "");
   Log(gateway, "probed",
       {{"service", probe.service.value},
        {"upstream", probe.upstream.value},
@@ -108,6 +145,14 @@
 }
 
 void ExecuteAction(Gateway& gateway, const dispatch::StartProbe& action) {
+  // A probe is a request, too.
+  if (KnownNotice(gateway, action.upstream).pause > base::Duration(0)) {
+    ExecuteActions(gateway,
+                   dispatch::OnProbeResult(
+                       gateway.dispatcher, action.service, action.upstream,
+                       dispatch::ProbeResult::kUnhealthy, clock::Now()));
+    return;
+  }
   std::string path = "/";
   if (gateway.configuration) {
     const auto found = gateway.configuration->services.find(action.service);
@@ -230,28 +275,30 @@
   dispatch::OnWithdrawal(gateway.dispatcher, from, withdrawal);
 }
 
-void LearnLeaving(Gateway& gateway,
-                  const base::UpstreamId& upstream,
-                  const std::string& request_id) {
-  const auto known = gateway.view.upstreams.find(upstream);
-  const base::Incarnation incarnation = known != gateway.view.upstreams.end()
-                                            ? known->second.entry.incarnation
-                                            : base::Incarnation{};
-  if (!dispatch::MarkLeaving(gateway.dispatcher, upstream, incarnation,
-                             clock::Now()))
-    return;
-  Log(gateway, "upstream_leaving",
-      {{"upstream", upstream.value},
-       {"request", request_id},
-       {"source", request_id.empty() ? "probe" : "response"},
-       {"view_revision", gateway.view.as_of.value},
-       {"view_age_ms", ViewAgeMilliseconds(gateway)}});
-  metrics::IncrementCounter(gateway.metrics, "upstreams_leaving_total");
+void LearnNotice(Gateway& gateway,
+                 const base::UpstreamId& upstream,
+                 const dispatch::UpstreamNotice& notice,
+                 const std::string& request_id) {
+  if (notice.is_leaving)
+    LearnLeaving(gateway, upstream, request_id);
+  if (notice.pause > base::Duration(0))
+    LearnPause(gateway, upstream, notice.pause, request_id);
+}
+
+dispatch::UpstreamNotice KnownNotice(const Gateway& gateway,
+                                     const base::UpstreamId& upstream) {
+  return {dispatch::IsLeaving(gateway.dispatcher, upstream),
+          dispatch::PauseLeft(gateway.upstream_pauses, upstream, clock::Now())};
 }
 
 bool ApplyUpstreamRecord(Gateway& gateway,
                          const fleet::UpstreamRecord& record,
                          const char* source) {
+  const auto previous = gateway.view.upstreams.find(record.entry.id);
+  const base::Incarnation previous_incarnation =
+      previous != gateway.view.upstreams.end()
+          ? previous->second.entry.incarnation
+          : base::Incarnation{};
   if (!fleet::MergeUpstream(gateway.view, record))
     return false;
   // `record` may be a removal without the entry. The merged record in the view
@@ -266,6 +313,8 @@
        {"incarnation", merged.entry.incarnation.value},
        {"revision", merged.change_revision.value},
        {"source", source}});
+  if (merged.entry.incarnation != previous_incarnation)
+    gateway.upstream_pauses.erase(merged.entry.id);
   gateway.shard_slots.erase(merged.entry.service);
   if (!merged.entry.service.value.empty())
     ExecuteActions(gateway,
--- a/src/gateway/dispatch_driver.h
+++ b/src/gateway/dispatch_driver.h
@@ -33,10 +33,15 @@
 // that would take over.
 void SendDigests(Gateway& gateway);
 
-// Remembers that an upstream has said that it is leaving, in the response to
-// the caller's request `request_id`, or in a health probe if this is empty.
-void LearnLeaving(Gateway& gateway,
-                  const base::UpstreamId& upstream,
-                  const std::string& request_id);
+// Remembers what an upstream has said about further requests, in the response
+// to the caller's request `request_id`, or to a health probe if this is empty.
+void LearnNotice(Gateway& gateway,
+                 const base::UpstreamId& upstream,
+                 const dispatch::UpstreamNotice& notice,
+                 const std::string& request_id);
+
+// Returns what the upstream has said about further requests of this daemon.
+dispatch::UpstreamNotice KnownNotice(const Gateway& gateway,
+                                     const base::UpstreamId& upstream);
 
 }  // namespace poplarfork::gateway
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -86,6 +86,8 @@
   std::map<base::ServiceId, fleet::ShardSlots> shard_slots;
 
   dispatch::Dispatcher dispatcher;
+  // Upstreams that want no requests of this daemon for some time.
+  dispatch::UpstreamPauses upstream_pauses;
   std::unordered_map<request::RequestNumber, std::unique_ptr<ActiveRequest>>
       requests;
   // Number of the active request on each caller connection.
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -6,12 +6,12 @@
 #include "base/hash_func.h"
 #include "clock/now_func.h"
 #include "datagram/message_type.h"
-#include "dispatch/leaving_func.h"
 #include "fleet/configuration_func.h"
 #include "fleet/shard_func.h"
 #include "fleet/traffic_split_func.h"
 #include "fleet/view_func.h"
 #include "gateway/attempt_driver.h"
+#include "gateway/dispatch_driver.h"
 #include "gateway/log_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/response_func.h"
@@ -400,18 +400,20 @@
   }
   const RequestNumber number = active_request->state.arrival.number;
   // The dispatcher may not have heard yet what this daemon knows.
-  if (dispatch::IsLeaving(gateway.dispatcher, grant.upstream)) {
+  const dispatch::UpstreamNotice notice = KnownNotice(gateway, grant.upstream);
+  if (notice.is_leaving || notice.pause > base::Duration(0)) {
+    const std::string reason = notice.is_leaving ? "leaving" : "paused";
     Log(gateway, "grant_returned",
         {{"request", active_request->request_id},
          {"upstream", grant.upstream.value},
          {"dispatcher", from.value},
-         {"reason", "leaving"}});
-    metrics::IncrementCounter(gateway.metrics,
-                              "grants_returned_total{reason=\"leaving\"}");
+         {"reason", reason}});
+    metrics::IncrementCounter(
+        gateway.metrics, "grants_returned_total{reason=\"" + reason + "\"}");
     ExecuteActions(
         gateway, number,
-        request::OnGrantOfLeaving(active_request->state, from, grant,
-                                  MakeContext(gateway, number), clock::Now()));
+        request::OnUnwantedGrant(active_request->state, from, grant, notice,
+                                 MakeContext(gateway, number), clock::Now()));
     return;
   }
   ExecuteActions(
--- a/src/gateway/response_func.cc
+++ b/src/gateway/response_func.cc
@@ -43,6 +43,8 @@
       return "not_ready";
     case request::Failure::kExpired:
       return "expired_while_waiting";
+    case request::Failure::kUpstreamsPaused:
+      return "upstreams_paused";
     case request::Failure::kCrashesUpstreams:
       return "crashes_upstreams";
     case request::Failure::kShedByUpstreams:
@@ -67,6 +69,8 @@
       return "retry_budget_spent";
     case dispatch::RefusalReason::kNoUpstream:
       return "no_upstream";
+    case dispatch::RefusalReason::kUpstreamsPaused:
+      return "upstreams_paused";
     case dispatch::RefusalReason::kCrashesUpstreams:
       return "crashes_upstreams";
     case dispatch::RefusalReason::kNotReady:
--- a/src/request/action_type.h
+++ b/src/request/action_type.h
@@ -14,6 +14,7 @@
   kNoUpstream,
   kNotReady,
   kExpired,
+  kUpstreamsPaused,
   kCrashesUpstreams,
   kShedByUpstreams,
   kUnreachable,
--- a/src/request/attempt_end_type.h
+++ b/src/request/attempt_end_type.h
@@ -33,8 +33,7 @@
 struct AttemptEnd {
   AttemptResult result = AttemptResult::kNotConnected;
   base::Duration duration{};
-  // The upstream has said that it is leaving.
-  bool upstream_is_leaving = false;
+  dispatch::UpstreamNotice notice;
   bool has_reported_load = false;
   dispatch::ReportedLoad reported_load;
 };
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -133,7 +133,7 @@
   if (end) {
     report.has_reported_load = end->has_reported_load;
     report.reported_load = end->reported_load;
-    report.upstream_is_leaving = end->upstream_is_leaving;
+    report.notice = end->notice;
   }
   actions.push_back(SendAttemptReport{attempt.dispatcher, report});
   if (outcome != Outcome::kServed)
@@ -287,17 +287,18 @@
   return actions;
 }
 
-Actions OnGrantOfLeaving(Request& request,
-                         const base::DaemonId& from,
-                         const dispatch::Grant& grant,
-                         const Context& context,
-                         base::TimePoint now) {
+Actions OnUnwantedGrant(Request& request,
+                        const base::DaemonId& from,
+                        const dispatch::Grant& grant,
+                        const dispatch::UpstreamNotice& notice,
+                        const Context& context,
+                        base::TimePoint now) {
   if (!IsReplyToOpenSlotRequest(request, grant) ||
       request.arrival.deadline <= now)
     return OnGrant(request, from, grant, now);
   Actions actions;
   dispatch::AttemptReport report = MakeUnusedReport(grant);
-  report.upstream_is_leaving = true;
+  report.notice = notice;
   actions.push_back(SendAttemptReport{from, report});
   request.avoid.push_back(grant.upstream);
   if (++request.returned_grants <= kMaxReturnedGrants) {
--- a/src/request/request_func.h
+++ b/src/request/request_func.h
@@ -33,14 +33,14 @@
                 const dispatch::Grant& grant,
                 base::TimePoint now);
 
-// Handles a grant of a slot at an upstream that this daemon knows to be
-// leaving. Returns the slot, tells the dispatcher why, and requests another
-// one.
-Actions OnGrantOfLeaving(Request& request,
-                         const base::DaemonId& from,
-                         const dispatch::Grant& grant,
-                         const Context& context,
-                         base::TimePoint now);
+// Handles a grant of a slot at an upstream that has told this daemon that it
+// wants no requests. Returns the slot with that notice, and requests another.
+Actions OnUnwantedGrant(Request& request,
+                        const base::DaemonId& from,
+                        const dispatch::Grant& grant,
+                        const dispatch::UpstreamNotice& notice,
+                        const Context& context,
+                        base::TimePoint now);
 
 // Handles the dispatcher's notice that the request is queued.
 Actions OnQueuedNotice(Request& request,
--- a/src/request/result_func.cc
+++ b/src/request/result_func.cc
@@ -61,13 +61,16 @@
       return Failure::kNotReady;
     case RefusalReason::kExpired:
       return Failure::kExpired;
+    case RefusalReason::kUpstreamsPaused:
+      return Failure::kUpstreamsPaused;
   }
   return Failure::kOverload;
 }
 
 bool IsShardFull(RefusalReason reason) {
   return reason == RefusalReason::kOverload ||
-         reason == RefusalReason::kNoUpstream;
+         reason == RefusalReason::kNoUpstream ||
+         reason == RefusalReason::kUpstreamsPaused;
 }
 
 bool IsNotSent(AttemptResult result) {
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -33,6 +33,8 @@
                      const std::string& request_id) {
   Response response = MakeResponse(upstream, request_id, 503);
   response.headers.push_back({"Not-Executed", "1"});
+  if (!upstream.retry_after.empty())
+    response.headers.push_back({"Retry-After", upstream.retry_after});
   return response;
 }
 
@@ -120,6 +122,7 @@
 void OnRequest(const PlatformUpstreamPtr& upstream,
                const HttpConnectionPtr& connection) {
   const std::string request_id = HeaderValue(*connection, "Attempt-Id");
+  ++upstream->request_count;
   if (RequestPath(*connection) == "/health") {
     SendResponse(connection, MakeResponse(*upstream, request_id, 200));
     return;
@@ -131,9 +134,11 @@
   }
   upstream->last_deadline_ms = HeaderValue(*connection, "Deadline-Ms");
   const bool is_refused = upstream->fault == Fault::kShed ||
+                          upstream->refusals_left > 0 ||
                           (upstream->fault == Fault::kRepeatedRefusal &&
                            upstream->refused_request_id.empty());
   if (is_refused) {
+    upstream->refusals_left -= upstream->refusals_left > 0 ? 1 : 0;
     upstream->refused_request_id = request_id;
     SendResponse(connection, MakeRefusal(*upstream, request_id));
     return;
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -53,6 +53,10 @@
   std::string address;
   base::Duration service_time{};
   PlatformUpstreamFault fault = PlatformUpstreamFault::kNone;
+  // Number of requests that are still turned away with 503, and the value of
+  // their header Retry-After.
+  int refusals_left = 0;
+  std::string retry_after;
   // All responses say that the upstream is leaving.
   bool is_leaving = false;
   // A request with this path crashes the upstream as soon as it runs: all
@@ -60,6 +64,8 @@
   std::string crash_path;
   // Request id of the request that kRepeatedRefusal has refused.
   std::string refused_request_id;
+  // Number of requests, health probes included.
+  int request_count = 0;
   // Number of runs by request id.
   std::map<std::string, int> run_counts;
   // Number of runs whose caller closed the connection before the response.
--- a/tests/dispatch/leaving_test.cc
+++ b/tests/dispatch/leaving_test.cc
@@ -24,7 +24,7 @@
     report.upstream = grant->upstream;
     report.outcome = Outcome::kServed;
     report.duration = milliseconds(200);
-    report.upstream_is_leaving = true;
+    report.notice.is_leaving = true;
     this->actions =
         OnAttemptReport(this->dispatcher, {"d"}, report, this->now, this->rng);
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -317,7 +317,7 @@
 BOOST_FIXTURE_TEST_CASE(GrantsOfLeavingUpstreamsAreReturned, LeavingFleet) {
   Gateway& dispatcher = this->Dispatcher();
   Gateway& gateway = this->Other(dispatcher);
-  LearnLeaving(gateway, {"u1"}, "x");
+  LearnNotice(gateway, {"u1"}, {.is_leaving = true}, "x");
   BOOST_REQUIRE(!dispatch::IsLeaving(dispatcher.dispatcher, {"u1"}));
   BOOST_TEST(this->CountRunsAtU1(gateway) == 0);
   BOOST_TEST(dispatch::IsLeaving(dispatcher.dispatcher, {"u1"}));
@@ -333,6 +333,63 @@
   BOOST_TEST(this->CountRunsAtU1(successor) == 0);
 }
 
+// Guards against further requests of a gateway to an upstream that has turned
+// it away for some time, and against other gateways that leave the upstream,
+// too.
+BOOST_FIXTURE_TEST_CASE(PausesBindTheGatewayThatWasTurnedAway,
+                        TwoGatewayFleet) {
+  standin::PlatformUpstream& upstream = *this->upstreams.at("u1");
+  upstream.retry_after = "600";
+  upstream.refusals_left = 1;
+  for (int i = 0; upstream.refusals_left > 0; ++i) {
+    BOOST_REQUIRE(i < 100);
+    this->SendAndWait(*this->first, {.request_id = "p" + std::to_string(i)});
+  }
+  const int count = upstream.request_count;
+  for (int i = 0; i < 30; ++i) {
+    const std::string id = "q" + std::to_string(i);
+    BOOST_TEST(this->SendAndWait(*this->first,
+                                 {.request_id = id, .is_order = i % 2 == 0})
+                   .status == 200U);
+  }
+  BOOST_TEST(upstream.request_count == count);
+  for (int i = 0; upstream.request_count == count; ++i) {
+    BOOST_REQUIRE(i < 100);
+    this->SendAndWait(*this->second, {.request_id = "r" + std::to_string(i)});
+  }
+}
+
+// Guards against callers that wait although all upstreams have turned their
+// gateway away, and against a wrong promise of when to return.
+BOOST_FIXTURE_TEST_CASE(CallersHearHowLongUpstreamsWantNothing,
+                        TwoGatewayFleet) {
+  for (const auto& [id, upstream] : this->upstreams) {
+    upstream->retry_after = "600";
+    upstream->refusals_left = 1;
+  }
+  this->SendAndWait(*this->first, {.request_id = "o", .is_order = true});
+  const CallerResponse response =
+      this->SendAndWait(*this->first, {.request_id = "p", .is_order = true});
+  BOOST_TEST(response.status == 503U);
+  BOOST_REQUIRE(!response.retry_after.empty());
+  const double retry_after_s = std::stod(response.retry_after);
+  BOOST_TEST(retry_after_s <= 600);
+  BOOST_TEST(retry_after_s > 500);
+  BOOST_TEST(CountRuns(*this, "p") == 0);
+  BOOST_TEST(
+      this->SendAndWait(*this->second, {.request_id = "q", .is_order = true})
+          .status == 200U);
+}
+
+// Guards against grants of a dispatcher that has not heard that an upstream
+// wants no requests of a gateway.
+BOOST_FIXTURE_TEST_CASE(GrantsOfPausingUpstreamsAreReturned, LeavingFleet) {
+  this->upstreams.at("u1")->is_leaving = false;
+  Gateway& gateway = this->Other(this->Dispatcher());
+  LearnNotice(gateway, {"u1"}, {.pause = std::chrono::minutes(5)}, "x");
+  BOOST_TEST(this->CountRunsAtU1(gateway) == 0);
+}
+
 // Guards against upstreams that go on working on a request whose caller has
 // closed its connection.
 BOOST_FIXTURE_TEST_CASE(RequestsAreCancelledWhenTheCallerDisconnects,
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -117,6 +117,37 @@
                warm_up);
 }
 
+// Guards against odd values with which an upstream would get no requests
+// without end, or get requests that it does not want.
+BOOST_AUTO_TEST_CASE(NoticesOfUpstreamsAreDecoded) {
+  const auto parse_pause = [](std::initializer_list<const char*> values,
+                              unsigned status) {
+    edge::HttpHeader header;
+    header.result(status);
+    for (const char* value : values)
+      header.insert(http::field::retry_after, value);
+    return ParseUpstreamNotice(header).pause;
+  };
+  BOOST_TEST((parse_pause({"3"}, 503) == seconds(3)));
+  BOOST_TEST((parse_pause({"0.25"}, 503) == milliseconds(250)));
+  BOOST_TEST((parse_pause({"1", "7", "2"}, 503) == seconds(7)));
+  BOOST_TEST((parse_pause({"999999999999999999999999"}, 503) ==
+              std::chrono::minutes(10)));
+  BOOST_TEST((parse_pause({"3"}, 429) == seconds(0)));
+  for (const char* value :
+       {"", "-1", "+3", "1e9", "0x10", "inf", "nan", "1.2.3", ".", "3 s",
+        "soon", "Fri, 31 Dec 2027 23:59:59 GMT"})
+    BOOST_TEST((parse_pause({value}, 503) == seconds(0)), value);
+
+  edge::HttpHeader header;
+  header.result(200U);
+  BOOST_TEST(!ParseUpstreamNotice(header).is_leaving);
+  header.set("Server-Leaving", "0");
+  BOOST_TEST(!ParseUpstreamNotice(header).is_leaving);
+  header.set("server-leaving", "1");
+  BOOST_TEST(ParseUpstreamNotice(header).is_leaving);
+}
+
 // Guards against a route, its type, its objective or the limits being lost when
 // a configuration is decoded.
 BOOST_AUTO_TEST_CASE(ConfigurationsAreDecoded) {
--- a/tests/request/request_test.cc
+++ b/tests/request/request_test.cc
@@ -50,8 +50,9 @@
     dispatch::Grant grant;
     grant.attempt_id = this->request.slot_request_id;
     grant.upstream = {upstream};
-    this->actions = OnGrantOfLeaving(this->request, this->dispatcher, grant,
-                                     this->context, this->now);
+    this->actions =
+        OnUnwantedGrant(this->request, this->dispatcher, grant,
+                        {.is_leaving = true}, this->context, this->now);
   }
 
   void EndAttempt(AttemptResult result) {
@@ -320,7 +321,7 @@
   const auto* report = fixture.FindAction<SendAttemptReport>();
   BOOST_REQUIRE(report);
   BOOST_TEST((report->report.outcome == dispatch::Outcome::kUnused));
-  BOOST_TEST(report->report.upstream_is_leaving);
+  BOOST_TEST(report->report.notice.is_leaving);
   const auto* slot_request = fixture.FindAction<SendSlotRequest>();
   BOOST_REQUIRE(slot_request);
   BOOST_TEST(!slot_request->slot_request.is_retry);
