Remove an upstream from the shards that it does not belong to

Cause: OnUpstreamRecord() looked only at the shards of the service that the record names. The shard of the old service kept the upstream as ready, and the removal that followed, which bears the changed service, did not reach it.

Change: each record removes its upstream from all shards that it does not belong to, and the slots of the old service's shards are counted again.

--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -326,9 +326,12 @@
   if (!record.removed)
     dispatcher.shards.try_emplace({entry.service, 0, 1});
   for (auto& [shard, shard_state] : dispatcher.shards) {
-    if (shard.service != entry.service || !fleet::IsInShard(entry.id, shard))
-      continue;
-    if (record.removed) {
+    const bool is_in_shard = !record.removed &&
+                             shard.service == entry.service &&
+                             fleet::IsInShard(entry.id, shard);
+    // The shard may hold the upstream although the entry now names another
+    // service.
+    if (!is_in_shard) {
       shard_state.upstreams.erase(entry.id);
       continue;
     }
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -295,10 +295,9 @@
                          const fleet::UpstreamRecord& record,
                          const char* source) {
   const auto previous = gateway.view.upstreams.find(record.entry.id);
-  const base::Incarnation previous_incarnation =
-      previous != gateway.view.upstreams.end()
-          ? previous->second.entry.incarnation
-          : base::Incarnation{};
+  const fleet::UpstreamEntry previous_entry =
+      previous != gateway.view.upstreams.end() ? previous->second.entry
+                                               : fleet::UpstreamEntry{};
   if (!fleet::MergeUpstream(gateway.view, record))
     return false;
   // `record` may be a removal without the entry. The merged record in the view
@@ -313,9 +312,10 @@
        {"incarnation", merged.entry.incarnation.value},
        {"revision", merged.change_revision.value},
        {"source", source}});
-  if (merged.entry.incarnation != previous_incarnation)
+  if (merged.entry.incarnation != previous_entry.incarnation)
     gateway.upstream_pauses.erase(merged.entry.id);
   gateway.shard_slots.erase(merged.entry.service);
+  gateway.shard_slots.erase(previous_entry.service);
   if (!merged.entry.service.value.empty())
     ExecuteActions(gateway,
                    dispatch::OnUpstreamRecord(gateway.dispatcher, merged,
