List the store before removals that were put off are carried out

Cause: a removal that is read within 2.2 s after an outage is put off, because the entry may have expired in it, and was carried out later from memory. A gateway that is no reader stops reading in between; the readers see the same entries come back, which is no change, and tell it nothing.

Change: when such a removal is due, the store is listed. What the list lacks is removed; what it has was written again. This costs one listing for each outage and gateway that read removals after it.

--- a/src/gateway/store_client_state_type.h
+++ b/src/gateway/store_client_state_type.h
@@ -34,7 +34,8 @@
   base::TimePoint reader_since{};
 
   // Deferred removal of an upstream whose entry expired during a store outage.
-  // The upstream is removed at `due_at`, unless it writes its entry again.
+  // From `due_at` on, a list of the store shows whether the upstream has
+  // written its entry again.
   struct DeferredRemoval {
     fleet::StoreRevision revision;
     base::TimePoint due_at{};
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -192,24 +192,12 @@
     AnnounceConfiguration(gateway);
 }
 
-// Removes the upstreams whose deferred removals are due, because their entries
-// have not been written again after an outage. The removals get the revision of
-// the current read, which is later than what other daemons know, so that these
-// are sent the removals.
-void ApplyDeferredRemovals(Gateway& gateway,
-                           fleet::StoreRevision as_of,
-                           Changes& changes) {
-  const base::TimePoint now = clock::Now();
-  for (auto item = gateway.store.deferred_removals.begin();
-       item != gateway.store.deferred_removals.end();) {
-    if (item->second.due_at > now) {
-      ++item;
-      continue;
-    }
-    RemoveUpstream(gateway, item->first, std::max(item->second.revision, as_of),
-                   "missing after a store outage", changes);
-    item = gateway.store.deferred_removals.erase(item);
-  }
+// Returns whether a removal that was deferred after an outage is due.
+bool IsDeferredRemovalDue(const Gateway& gateway, base::TimePoint now) {
+  return std::any_of(
+      gateway.store.deferred_removals.begin(),
+      gateway.store.deferred_removals.end(),
+      [now](const auto& item) { return item.second.due_at <= now; });
 }
 
 void ScheduleReadRound(Gateway& gateway, base::Duration delay) {
@@ -278,6 +266,9 @@
   }
   gateway.view.as_of = std::max(gateway.view.as_of, as_of);
   gateway.view.removals_known_since = as_of;
+  // The list shows which of the entries were written again.
+  std::erase_if(gateway.store.deferred_removals,
+                [now](const auto& item) { return item.second.due_at <= now; });
   gateway.list_progress = {};
   gateway.dispatcher.ready = true;
   ConfirmRead(gateway, base::Duration(0));
@@ -319,7 +310,6 @@
   Changes changes;
   for (const StoreItem& item : parsed_changes.value().items)
     ApplyItem(gateway, item, changes);
-  ApplyDeferredRemovals(gateway, parsed_changes.value().as_of, changes);
   gateway.view.as_of =
       std::max(gateway.view.as_of, parsed_changes.value().as_of);
   gateway.list_progress = {};
@@ -328,6 +318,12 @@
   gateway.dispatcher.ready = true;
   ConfirmRead(gateway, kWatchMaxWait);
   AnnounceChanges(gateway, changes);
+  // This daemon may not have read the store since the removal was deferred, so
+  // what it remembers does not show whether the entry was written again.
+  if (IsDeferredRemovalDue(gateway, clock::Now())) {
+    ListStore(gateway);
+    return;
+  }
   ScheduleReadRound(gateway,
                     kReadRoundInterval -
                         (clock::Now() - gateway.store.read_round_started_at));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -583,6 +583,22 @@
   BOOST_TEST(HasUpstreamCount(*this->second, 2));
 }
 
+// Guards against a live upstream that is removed because its removal was
+// deferred after an outage by a daemon that did not read the store afterwards,
+// when the entry was written again.
+BOOST_FIXTURE_TEST_CASE(RemovalsOfEntriesThatCameBackAreDropped,
+                        TwoGatewayFleet) {
+  const base::TimePoint noted_at = clock::Now();
+  for (Gateway* gateway : {this->first, this->second})
+    gateway->store.deferred_removals[{"u1"}] = {gateway->view.as_of, noted_at};
+  BOOST_REQUIRE(this->RunUntil([this] {
+    return this->first->store.deferred_removals.empty() &&
+           this->second->store.deferred_removals.empty();
+  }));
+  BOOST_TEST(HasUpstreamCount(*this->first, 2));
+  BOOST_TEST(HasUpstreamCount(*this->second, 2));
+}
+
 // Guards against changes that are missed when the store has dropped the history
 // that a watch would continue from.
 BOOST_FIXTURE_TEST_CASE(StoreIsListedAgainAfterHistoryLoss, TwoGatewayFleet) {
