--- a/src/standin/platform_store_func.cc
+++ b/src/standin/platform_store_func.cc
@@ -217,13 +217,6 @@
   store.watches.clear();
 }
 
-// Ends the open watches and resets their connections.
-void ResetWatches(PlatformStore& store) {
-  for (const PlatformWatch& watch : store.watches)
-    ResetConnection(watch.connection);
-  DiscardWatches(store);
-}
-
 void OnRequest(const PlatformStorePtr& store,
                const HttpConnectionPtr& connection) {
   const std::string path(RequestPath(*connection));
@@ -257,16 +250,22 @@
     const boost::asio::any_io_executor& loop,
     const boost::asio::ip::tcp::endpoint& endpoint) {
   auto store = std::make_shared<PlatformStore>(loop);
+  store->server = AddPlatformStoreListener(store, endpoint);
+  return store;
+}
+
+HttpServerPtr AddPlatformStoreListener(
+    const PlatformStorePtr& store,
+    const boost::asio::ip::tcp::endpoint& endpoint) {
   HttpServerOptions options;
   options.endpoint = endpoint;
   options.max_buffered_body_bytes = 4 * 1024 * 1024;
   std::weak_ptr<PlatformStore> weak_store = store;
-  store->server = StartHttpServer(
-      loop, options, [weak_store](const HttpConnectionPtr& connection) {
-        if (const auto live_store = weak_store.lock())
-          OnRequest(live_store, connection);
-      });
-  return store;
+  return StartHttpServer(store->executor, options,
+                         [weak_store](const HttpConnectionPtr& connection) {
+                           if (const auto live_store = weak_store.lock())
+                             OnRequest(live_store, connection);
+                         });
 }
 
 void PutPlatformItem(PlatformStore& store,
@@ -300,13 +299,19 @@
   if (mode == PlatformStoreMode::kSilent)
     DiscardWatches(store);
   else if (mode != PlatformStoreMode::kNormal)
-    ResetWatches(store);
+    ResetPlatformWatches(store);
+}
+
+void ResetPlatformWatches(PlatformStore& store) {
+  for (const PlatformWatch& watch : store.watches)
+    ResetConnection(watch.connection);
+  DiscardWatches(store);
 }
 
 void CompactPlatformHistory(PlatformStore& store) {
   store.history.clear();
   store.compacted_revision = store.revision;
-  ResetWatches(store);
+  ResetPlatformWatches(store);
 }
 
 void RevokePlatformLease(PlatformStore& store, std::uint64_t lease_id) {
--- a/src/standin/platform_store_func.h
+++ b/src/standin/platform_store_func.h
@@ -14,6 +14,12 @@
     const boost::asio::any_io_executor& loop,
     const boost::asio::ip::tcp::endpoint& endpoint);
 
+// Adds a listener to a running store. It serves the same items; its connections
+// can be disturbed apart from those of other listeners. The caller stops it.
+HttpServerPtr AddPlatformStoreListener(
+    const PlatformStorePtr& store,
+    const boost::asio::ip::tcp::endpoint& endpoint);
+
 // Write or remove a key, as an upstream or an operator does.
 void PutPlatformItem(PlatformStore& store,
                      const std::string& key,
@@ -26,6 +32,9 @@
 // their connections are reset.
 void SetPlatformStoreMode(PlatformStore& store, PlatformStoreMode mode);
 
+// Ends the open watches and resets their connections.
+void ResetPlatformWatches(PlatformStore& store);
+
 // Deletes the history of changes and resets the connections of the open
 // watches.
 void CompactPlatformHistory(PlatformStore& store);
