Log when a gateway first hears of a later configuration

Change: configuration_announced with version, sender, the version in force, whether a fetch was in progress and the age of the view; configuration_in_force says how long ago it was announced. The soak can be limited to some troubles.

--- a/src/gateway/configuration_driver.cc
+++ b/src/gateway/configuration_driver.cc
@@ -22,6 +22,21 @@
     std::chrono::milliseconds(700);
 constexpr std::size_t kMaxConfigurationBytes = 64 * 1024 * 1024;
 
+fleet::ConfigurationVersion GetVersionInForce(const Gateway& gateway) {
+  return gateway.configuration ? gateway.configuration->version
+                               : fleet::ConfigurationVersion{};
+}
+
+// Returns how long ago this daemon first heard of the configuration that it has
+// just put into force, as a log value. It is null if no other daemon has
+// announced that configuration.
+logging::Fields MillisecondsSinceAnnouncement(const Gateway& gateway) {
+  const AnnouncedConfiguration& announced = gateway.announced_configuration;
+  if (announced.version != gateway.configuration->version)
+    return nullptr;
+  return ToMilliseconds(clock::Now() - announced.first_heard_at);
+}
+
 // Applies the caller limits of the configuration in force to the server for
 // callers.
 void ApplyCallerLimits(Gateway& gateway) {
@@ -46,14 +61,12 @@
     Log(gateway, "configuration_unreadable",
         {{"source", source},
          {"error", base::ToString(parsed.error())},
-         {"in_force",
-          gateway.configuration ? gateway.configuration->version.value : 0}});
+         {"in_force", GetVersionInForce(gateway).value}});
     metrics::IncrementCounter(gateway.metrics,
                               "configurations_unreadable_total");
     return false;
   }
-  const auto previous_version =
-      gateway.configuration ? gateway.configuration->version.value : 0;
+  const std::uint64_t previous_version = GetVersionInForce(gateway).value;
   if (parsed.value().version.value <= previous_version)
     return false;
   gateway.configuration =
@@ -65,12 +78,32 @@
        {"previous", previous_version},
        {"hosts", gateway.configuration->routes_by_host.size()},
        {"services", gateway.configuration->services.size()},
-       {"source", source}});
+       {"source", source},
+       {"announced_ms_ago", MillisecondsSinceAnnouncement(gateway)}});
   metrics::SetGauge(gateway.metrics, "configuration_version",
                     static_cast<double>(gateway.configuration->version.value));
   return true;
 }
 
+void OnConfigurationAnnounced(Gateway& gateway,
+                              const base::DaemonId& from,
+                              fleet::ConfigurationVersion version) {
+  if (version <= GetVersionInForce(gateway))
+    return;
+  if (version > gateway.announced_configuration.version) {
+    const base::TimePoint now = clock::Now();
+    gateway.announced_configuration = {version, from, now};
+    Log(gateway, "configuration_announced",
+        {{"version", version.value},
+         {"from", from.value},
+         {"in_force", GetVersionInForce(gateway).value},
+         {"fetching", gateway.fetching_configuration},
+         {"view_age_ms",
+          ToMilliseconds(now - gateway.freshness.confirmed_at)}});
+  }
+  FetchConfiguration(gateway, from);
+}
+
 void FetchConfiguration(Gateway& gateway, const base::DaemonId& from) {
   if (gateway.fetching_configuration)
     return;
--- a/src/gateway/configuration_driver.h
+++ b/src/gateway/configuration_driver.h
@@ -14,6 +14,12 @@
                           const std::string& text,
                           const char* source);
 
+// Handles the news that the daemon `from` has `version` in force. Fetches that
+// configuration if it is later than the one in force here.
+void OnConfigurationAnnounced(Gateway& gateway,
+                              const base::DaemonId& from,
+                              fleet::ConfigurationVersion version);
+
 // Fetches the configuration from the daemon `from`, which has a newer one. If
 // this fails, the configuration is read from the store. Does nothing while
 // another fetch or read of the configuration is in progress.
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -49,6 +49,14 @@
   fleet::ListTransfer transfer;
 };
 
+// The latest configuration of which this daemon has heard from another daemon.
+struct AnnouncedConfiguration {
+  fleet::ConfigurationVersion version;
+  // Daemon that has it in force.
+  base::DaemonId from;
+  base::TimePoint first_heard_at{};
+};
+
 // State of one gateway process, which comments call a daemon. It is used on one
 // event loop only and therefore needs no locks.
 struct Gateway {
@@ -79,6 +87,7 @@
   std::string configuration_text;
   // A fetch from another daemon or a read from the store is in progress.
   bool fetching_configuration = false;
+  AnnouncedConfiguration announced_configuration;
   fleet::TrafficSplitState traffic_split_state;
 
   // Slots of the shards of each service. They are computed on demand, and the
--- a/src/gateway/view_update_driver.cc
+++ b/src/gateway/view_update_driver.cc
@@ -270,11 +270,7 @@
                            gateway.view.as_of >= update.as_of;
   if (update.read_age && is_complete)
     fleet::ConfirmView(gateway.freshness, now - *update.read_age);
-  const fleet::ConfigurationVersion current_version =
-      gateway.configuration ? gateway.configuration->version
-                            : fleet::ConfigurationVersion{};
-  if (update.configuration_version > current_version)
-    FetchConfiguration(gateway, from);
+  OnConfigurationAnnounced(gateway, from, update.configuration_version);
 }
 
 bool IsReceivingList(const Gateway& gateway) {
--- a/src/soak/options_type.h
+++ b/src/soak/options_type.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/time_type.h"
 
@@ -21,6 +22,8 @@
   double request_rate = 60;
   // Troubles per second; 0 for a calm run.
   double trouble_rate = 0.4;
+  // Names of the troubles to draw from; all if empty.
+  std::vector<std::string> trouble_names;
   // Connections to the store go silent whenever a configuration is written.
   bool silences_at_changes = false;
 };
--- a/src/soak/soak_main.cc
+++ b/src/soak/soak_main.cc
@@ -30,6 +30,11 @@
 ABSL_FLAG(std::uint32_t, upstreams, 9, "number of upstreams");
 ABSL_FLAG(double, rate, 60, "requests of callers per second");
 ABSL_FLAG(double, troubles, 0.4, "troubles per second; 0 for none");
+ABSL_FLAG(
+    std::vector<std::string>,
+    only,
+    {},
+    "names of the troubles to draw from, as in docs/soak.md; all if empty");
 ABSL_FLAG(bool,
           silence_at_changes,
           false,
@@ -73,6 +78,7 @@
   options.upstream_count = std::max(absl::GetFlag(FLAGS_upstreams), 1U);
   options.request_rate = std::max(absl::GetFlag(FLAGS_rate), 0.1);
   options.trouble_rate = absl::GetFlag(FLAGS_troubles);
+  options.trouble_names = absl::GetFlag(FLAGS_only);
   options.silences_at_changes = absl::GetFlag(FLAGS_silence_at_changes);
   return options;
 }
--- a/src/soak/trouble_func.cc
+++ b/src/soak/trouble_func.cc
@@ -1,5 +1,6 @@
 #include "soak/trouble_func.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <csignal>
@@ -137,14 +138,23 @@
     Trouble{"reload", Reload},
 };
 
+// Returns whether a trouble may be drawn in this run.
+bool IsSelected(const Options& options, const Trouble& trouble) {
+  return options.trouble_names.empty() ||
+         std::find(options.trouble_names.begin(), options.trouble_names.end(),
+                   trouble.name) != options.trouble_names.end();
+}
+
 void ScheduleTrouble(Fleet& fleet) {
   const double wait_s =
       -std::log(1 - base::Uniform01(fleet.rng)) / fleet.options.trouble_rate;
   RunAfter(fleet, base::Scale(std::chrono::seconds(1), wait_s), [&fleet] {
     const Trouble& trouble =
         kTroubles.at(base::UniformBelow(fleet.rng, kTroubles.size()));
-    ++fleet.troubles[trouble.name];
-    trouble.start(fleet);
+    if (IsSelected(fleet.options, trouble)) {
+      ++fleet.troubles[trouble.name];
+      trouble.start(fleet);
+    }
     ScheduleTrouble(fleet);
   });
 }
