Give up silent connections to the store soon after a late answer

Cause: a read was given up only after the longest time that a slow store may need (1.5 s) beyond the wait of the watch (0.5 s). With the interval of the read rounds that is 2.35 s, longer than any bound for a change. A time-out of the kind 'worst case of a healthy peer' was used to detect a lost path. Both readers and the direct reads share one fate.

Change: the time allowed for an answer follows from the store's own recent answers: three times the slowest of them, at least 300 ms, and four times as much after each call without an answer, so that a store that becomes slow is still waited for. The read after a lost connection holds no wait, so that its answer shows at once whether the store is there. Bytes that arrived while this process was paused end no connection. Writes wait as before.

--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -49,10 +49,10 @@
   member.capacity = ComputeCapacity(gateway.settings);
   const std::string key =
       std::string(platform::kMemberKeyPrefix) + member.id.value;
-  CallStore(
+  WriteStore(
       gateway,
       platform::MakePutRequest(key, EncodeMember(member), gateway.store.lease),
-      kStoreCallTimeout, [&gateway, member](const StoreResponse& response) {
+      [&gateway, member](const StoreResponse& response) {
         const auto revision = platform::ParseRevision(response.body);
         if (response.status == 404)
           gateway.store.lease = {};
@@ -75,23 +75,23 @@
 }
 
 void GrantLease(Gateway& gateway) {
-  CallStore(gateway, platform::MakeGrantLeaseRequest(kLeaseTtl),
-            kStoreCallTimeout, [&gateway](const StoreResponse& response) {
-              const auto lease = platform::ParseLeaseId(response.body);
-              if (response.status != 200 || !lease) {
-                ScheduleRegistrationStep(gateway,
-                                         RandomStoreRetryDelay(gateway));
-                return;
-              }
-              gateway.store.lease = lease.value();
-              WriteMember(gateway);
-            });
+  WriteStore(gateway, platform::MakeGrantLeaseRequest(kLeaseTtl),
+             [&gateway](const StoreResponse& response) {
+               const auto lease = platform::ParseLeaseId(response.body);
+               if (response.status != 200 || !lease) {
+                 ScheduleRegistrationStep(gateway,
+                                          RandomStoreRetryDelay(gateway));
+                 return;
+               }
+               gateway.store.lease = lease.value();
+               WriteMember(gateway);
+             });
 }
 
 void RenewLease(Gateway& gateway) {
-  CallStore(
+  WriteStore(
       gateway, platform::MakeRenewLeaseRequest(gateway.store.lease),
-      kStoreCallTimeout, [&gateway](const StoreResponse& response) {
+      [&gateway](const StoreResponse& response) {
         if (response.status == 404) {
           Log(gateway, "lease_lost", {{"lease", gateway.store.lease.value}});
           gateway.store.lease = {};
@@ -148,12 +148,12 @@
   gateway.registration_timer.cancel();
   if (gateway.store.lease.value == 0)
     return;
-  CallStore(gateway, platform::MakeRevokeLeaseRequest(gateway.store.lease),
-            kStoreCallTimeout, [&gateway](const StoreResponse& response) {
-              Log(gateway, "unregistered",
-                  {{"lease", gateway.store.lease.value},
-                   {"status", response.status}});
-            });
+  WriteStore(gateway, platform::MakeRevokeLeaseRequest(gateway.store.lease),
+             [&gateway](const StoreResponse& response) {
+               Log(gateway, "unregistered",
+                   {{"lease", gateway.store.lease.value},
+                    {"status", response.status}});
+             });
 }
 
 }  // namespace poplarfork::gateway
--- a/src/gateway/store_call.cc
+++ b/src/gateway/store_call.cc
@@ -7,6 +7,7 @@
 #include "base/rng_func.h"
 #include "base/time_func.h"
 #include "clock/now_func.h"
+#include "fleet/answer_time_func.h"
 #include "fleet/freshness_func.h"
 #include "gateway/log_func.h"
 #include "metrics/registry_func.h"
@@ -123,6 +124,8 @@
   response.is_connection_lost =
       !response.is_too_large &&
       IsConnectionLoss(gateway.store, response, end, started_at);
+  if (response.status == 0 && !response.is_too_large)
+    fleet::RecordNoAnswer(gateway.store.answer_time);
   if (response.is_connection_lost)
     RecordConnectionLoss(gateway, response, started_at, now);
   else if (IsStoreUnavailable(response.status) && !response.is_too_large)
@@ -131,20 +134,20 @@
     RecordAvailable(gateway, now);
 }
 
-}  // namespace
-
+// Sends one call. `options` says how long to wait for the answer; the store may
+// hold the call open for `max_wait`.
 void CallStore(Gateway& gateway,
                edge::HttpRequest request,
-               base::Duration timeout,
+               upstream::CallOptions options,
+               base::Duration max_wait,
                std::function<void(const StoreResponse&)> on_end) {
-  upstream::CallOptions options;
   options.address = gateway.settings.store_address;
-  options.timeout = timeout;
+  options.timeout = max_wait + fleet::kMaxAnswerTime;
   options.max_body_bytes = kMaxStoreResponseBytes;
   upstream::StartCall(
       gateway.loop, gateway.control_pool, options,
       std::make_shared<edge::HttpRequest>(std::move(request)),
-      [&gateway, started_at = clock::Now(),
+      [&gateway, started_at = clock::Now(), max_wait,
        on_end = std::move(on_end)](upstream::BufferedResponse response) {
         StoreResponse store_response;
         store_response.error = response.end.error.message();
@@ -152,12 +155,33 @@
         if (response.IsComplete()) {
           store_response.status = response.header.result_int();
           store_response.body = std::move(response.body);
+          fleet::RecordAnswer(gateway.store.answer_time,
+                              clock::Now() - started_at, max_wait);
         }
         UpdateStoreStatus(gateway, store_response, response.end, started_at);
         on_end(store_response);
       });
 }
 
+}  // namespace
+
+void ReadStore(Gateway& gateway,
+               edge::HttpRequest request,
+               base::Duration max_wait,
+               std::function<void(const StoreResponse&)> on_end) {
+  upstream::CallOptions options;
+  options.answer_timeout =
+      max_wait + fleet::AnswerTimeout(gateway.store.answer_time);
+  CallStore(gateway, std::move(request), options, max_wait, std::move(on_end));
+}
+
+void WriteStore(Gateway& gateway,
+                edge::HttpRequest request,
+                std::function<void(const StoreResponse&)> on_end) {
+  CallStore(gateway, std::move(request), {}, base::Duration(0),
+            std::move(on_end));
+}
+
 base::Duration RandomStoreRetryDelay(Gateway& gateway) {
   return kMinStoreRetryDelay +
          base::Scale(kMinStoreRetryDelay, base::Uniform01(gateway.rng));
--- a/src/gateway/store_call.h
+++ b/src/gateway/store_call.h
@@ -7,12 +7,6 @@
 
 namespace poplarfork::gateway {
 
-// Timeout of a call to the store. Even a slow store responds within several
-// hundred milliseconds, so if there is no response for longer, the connection
-// has been lost without notice.
-inline constexpr base::Duration kStoreCallTimeout =
-    std::chrono::milliseconds(1500);
-
 // Result of a call to the store. `status` is 0 if there was no complete
 // response; the store may nevertheless have executed the call.
 struct StoreResponse {
@@ -26,14 +20,21 @@
   bool is_connection_lost = false;
 };
 
-// Sends one call to the store and passes the result to `on_end`. A failed call
-// is not repeated. Records and logs when the store becomes unavailable and when
-// it becomes available again.
-void CallStore(Gateway& gateway,
+// Sends one call that reads from the store and passes the result to `on_end`.
+// The store may hold the call open for `max_wait`. A failed call is not
+// repeated. Records and logs when the store becomes unavailable and when it
+// becomes available again.
+void ReadStore(Gateway& gateway,
                edge::HttpRequest request,
-               base::Duration timeout,
+               base::Duration max_wait,
                std::function<void(const StoreResponse&)> on_end);
 
+// The same for a call that writes. It waits longer for the answer, because the
+// store may still execute a call that was given up.
+void WriteStore(Gateway& gateway,
+                edge::HttpRequest request,
+                std::function<void(const StoreResponse&)> on_end);
+
 // Returns the delay before a failed call is tried again. It is random, so that
 // the gateways do not all call the store at the same time after an outage.
 base::Duration RandomStoreRetryDelay(Gateway& gateway);
--- a/src/gateway/store_client_state_type.h
+++ b/src/gateway/store_client_state_type.h
@@ -5,6 +5,7 @@
 
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "fleet/answer_time_type.h"
 #include "fleet/ids_type.h"
 #include "platform/store_type.h"
 
@@ -16,6 +17,9 @@
   // This daemon is reading the store, one read round after another.
   bool is_reading = false;
   base::TimePoint read_round_started_at{};
+  // Time for which the store may hold the present round's read open.
+  base::Duration read_round_wait{};
+  fleet::AnswerTime answer_time;
   // When a call to the store last succeeded; zero if never.
   base::TimePoint last_success{};
   // When connections to the store were last lost. Calls that began earlier may
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -32,6 +32,8 @@
 // the store or the connection has failed.
 constexpr base::Duration kWatchMaxWait = std::chrono::milliseconds(500);
 
+constexpr base::Duration kWatchMinWait = std::chrono::milliseconds(1);
+
 // Interval between two read rounds. The changes of one interval are read
 // together, because each answered watch counts as one call to the store. The
 // interval is limited by the requirement that all daemons know within 2 s that
@@ -316,7 +318,7 @@
   // All changes up to the revision that the watch started from were known
   // before, so the view is now complete.
   gateway.dispatcher.ready = true;
-  ConfirmRead(gateway, kWatchMaxWait);
+  ConfirmRead(gateway, gateway.store.read_round_wait);
   AnnounceChanges(gateway, changes);
   // This daemon may not have read the store since the removal was deferred, so
   // what it remembers does not show whether the entry was written again.
@@ -329,6 +331,15 @@
                         (clock::Now() - gateway.store.read_round_started_at));
 }
 
+// Returns the time for which the store may hold the next watch open. After a
+// lost connection it is short: the answer shows at once whether the store is
+// available, and brings what was missed.
+base::Duration ReadRoundWait(const Gateway& gateway) {
+  return gateway.store.connections_lost_at > gateway.store.last_success
+             ? kWatchMinWait
+             : kWatchMaxWait;
+}
+
 // Starts one round of reading the store: the complete lists if none are known,
 // or otherwise the changes since the last round. Stops reading if this daemon
 // is no longer a store reader.
@@ -351,10 +362,10 @@
   // which case none has been read yet.
   if (!gateway.configuration)
     ReadConfigurationFromStore(gateway);
-  CallStore(gateway,
-            platform::MakeWatchRequest("", gateway.view.as_of, kWatchMaxWait),
-            kWatchMaxWait + kStoreCallTimeout,
-            [&gateway](const StoreResponse& response) {
+  const base::Duration wait = ReadRoundWait(gateway);
+  gateway.store.read_round_wait = wait;
+  ReadStore(gateway, platform::MakeWatchRequest("", gateway.view.as_of, wait),
+            wait, [&gateway](const StoreResponse& response) {
               OnWatchResponse(gateway, response);
             });
 }
@@ -389,8 +400,8 @@
   if (gateway.fetching_configuration)
     return;
   gateway.fetching_configuration = true;
-  CallStore(gateway, platform::MakeReadItemRequest(platform::kConfigurationKey),
-            kStoreCallTimeout, [&gateway](const StoreResponse& response) {
+  ReadStore(gateway, platform::MakeReadItemRequest(platform::kConfigurationKey),
+            base::Duration(0), [&gateway](const StoreResponse& response) {
               gateway.fetching_configuration = false;
               const auto item = platform::ParseItem(response.body);
               // The operator has not written a configuration yet. The first one
--- a/src/gateway/store_listing.cc
+++ b/src/gateway/store_listing.cc
@@ -57,8 +57,8 @@
   const Listing& listing = progress->listing;
   const std::string after =
       listing.items.empty() ? "" : listing.items.back().key;
-  CallStore(gateway, platform::MakeReadItemsRequest(listing.prefix, after),
-            kStoreCallTimeout,
+  ReadStore(gateway, platform::MakeReadItemsRequest(listing.prefix, after),
+            base::Duration(0),
             [&gateway, progress](const StoreResponse& response) {
               OnPageResponse(gateway, progress, response);
             });
--- a/src/upstream/exchange.cc
+++ b/src/upstream/exchange.cc
@@ -99,6 +99,10 @@
   this->Send();
 }
 
+void Exchange::LimitAnswerTime(base::Duration limit) {
+  this->answer_timeout = limit;
+}
+
 bool Exchange::IsConnectionReused() const {
   return this->end.is_connection_reused;
 }
@@ -139,8 +143,9 @@
   this->end.progress = Progress::kMaybeSent;
   if (this->handlers.on_sending)
     this->handlers.on_sending();
-  this->ArmTimer(this->pool.limits.silence_timeout,
-                 this->end.is_connection_reused);
+  this->ArmTimer(
+      this->answer_timeout.value_or(this->pool.limits.silence_timeout),
+      this->answer_timeout || this->end.is_connection_reused);
   this->serializer = std::make_unique<Serializer>(*this->request);
   http::async_write(
       this->connection->socket, *this->serializer,
@@ -268,10 +273,21 @@
 void Exchange::OnTimer(std::uint64_t armed_generation, bool ends_by_silence) {
   if (this->is_finished || armed_generation != this->timer_generation)
     return;
+  // After a pause of this process the timer may fire before bytes that arrived
+  // during the pause are read.
+  if (ends_by_silence && this->HasReceivedBytes()) {
+    this->ArmTimer(base::Duration::max(), false);
+    return;
+  }
   this->end.is_silent = ends_by_silence;
   this->Finish(asio::error::timed_out);
 }
 
+bool Exchange::HasReceivedBytes() const {
+  error_code ignored;
+  return this->connection->socket.available(ignored) > 0;
+}
+
 void Exchange::Finish(const error_code& error) {
   if (this->is_finished)
     return;
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -37,6 +37,11 @@
            Pool& pool,
            ExchangeHandlers handlers);
 
+  // Limits the time from the sending of the request to the header of the
+  // response; the connection counts as silent after that. Called before
+  // Start().
+  void LimitAnswerTime(base::Duration limit);
+
   // Sends `request` to `address` ("IP:port"). If the exchange has not ended
   // after `timeout`, it ends with the error `timed_out`, whatever its progress.
   void Start(std::string address,
@@ -71,6 +76,7 @@
   void OnBody(const boost::system::error_code& error);
   void ArmTimer(base::Duration timeout, bool is_silence_timer);
   void OnTimer(std::uint64_t armed_generation, bool ends_by_silence);
+  bool HasReceivedBytes() const;
   void Finish(const boost::system::error_code& error);
   void ReleaseConnection(bool is_complete);
 
@@ -87,6 +93,7 @@
   ConnectionPtr connection;
   std::unique_ptr<std::array<char, kBodyPartBytes>> part_buffer;
   base::TimePoint deadline{};
+  std::optional<base::Duration> answer_timeout;
   std::uint64_t pool_generation = 0;
   std::uint64_t timer_generation = 0;
   ExchangeEnd end;
--- a/src/upstream/whole_call.cc
+++ b/src/upstream/whole_call.cc
@@ -67,6 +67,8 @@
   handlers.on_end = [call](const ExchangeEnd& end) { OnEnd(*call, end); };
   auto exchange = std::make_shared<Exchange>(loop, pool, std::move(handlers));
   call->exchange = exchange;
+  if (options.answer_timeout)
+    exchange->LimitAnswerTime(*options.answer_timeout);
   exchange->Start(options.address, std::move(request), options.reuse,
                   options.timeout);
   return exchange;
--- a/src/upstream/whole_call.h
+++ b/src/upstream/whole_call.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "upstream/exchange.h"
@@ -27,6 +28,10 @@
   std::string address;
   ConnectionReuse reuse = ConnectionReuse::kAllowed;
   base::Duration timeout{};
+  // Time within which the header of the response must arrive after the request
+  // was sent. If it does not, the connection counts as silent. Without a value,
+  // the limit of the pool applies to reused connections.
+  std::optional<base::Duration> answer_timeout;
   std::size_t max_body_bytes = 0;
 };
 
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -24,6 +24,9 @@
 using Fault = standin::PlatformUpstreamFault;
 using std::chrono::milliseconds;
 
+// Time within which an acknowledged configuration is in force at every gateway.
+constexpr base::Duration kConfigurationBound = milliseconds(2000);
+
 // Returns how often all upstreams together ran the request with the given id.
 int CountRuns(const FleetFixture& fleet, const std::string& request_id) {
   int runs = 0;
@@ -456,6 +459,27 @@
   }));
 }
 
+// Guards against a configuration that is in force late because the store is
+// read on a connection that has gone silent.
+BOOST_AUTO_TEST_CASE(ConfigurationsAreInTimeAfterSilentStoreConnections) {
+  FleetFixture fleet;
+  fleet.WriteConfiguration(1);
+  fleet.AddUpstream("u1");
+  Gateway& gateway = fleet.AddGateway();
+  BOOST_REQUIRE(fleet.RunUntil([&] { return IsAccepting(gateway); }));
+  // The change falls into the pause before the next read, so that the whole
+  // wait for an answer follows it.
+  BOOST_REQUIRE(fleet.RunUntil([&] { return !fleet.store->watches.empty(); }));
+  BOOST_REQUIRE(fleet.RunUntil([&] { return fleet.store->watches.empty(); }));
+  standin::SilenceConnections(*fleet.store->server, nullptr);
+  fleet.WriteConfiguration(2);
+  const base::TimePoint acknowledged_at = clock::Now();
+  BOOST_REQUIRE(
+      fleet.RunUntil([&] { return GetConfigurationVersion(gateway) == 2; }));
+  BOOST_TEST((clock::Now() - acknowledged_at < kConfigurationBound));
+  BOOST_TEST(!gateway.store.failing);
+}
+
 // Guards against requests that fail during a store outage, and against
 // upstreams that are removed because their entries expired during the outage,
 // although they write them again after it.
