Fetch configurations that were announced during a fetch

Seen: with a version announced while an earlier one was being fetched, the later one was in force only after the next Hello to a reader, up to 0.6 s later, or never if that reader had failed meanwhile.

Cause: news of a version was dropped while a fetch was in progress. The end of a fetch did not look at what had been heard since it began.

Change: each fetch, from another gateway or from the store, remembers the version that was wanted when it began; if a later one has been announced, the next fetch follows at once.

Test: ConfigurationsAnnouncedDuringFetchesAreFetched; on the code before the later version was not in force after 30 s.

--- a/src/gateway/configuration_driver.cc
+++ b/src/gateway/configuration_driver.cc
@@ -108,6 +108,14 @@
   FetchConfiguration(gateway, from);
 }
 
+void FetchLaterConfiguration(Gateway& gateway,
+                             fleet::ConfigurationVersion wanted) {
+  const AnnouncedConfiguration& announced = gateway.announced_configuration;
+  if (announced.version > wanted &&
+      announced.version > GetVersionInForce(gateway))
+    FetchConfiguration(gateway, announced.from);
+}
+
 void FetchConfiguration(Gateway& gateway, const base::DaemonId& from) {
   if (gateway.fetching_configuration)
     return;
@@ -128,10 +136,12 @@
   request->set(boost::beast::http::field::host, options.address);
   upstream::StartCall(
       gateway.loop, gateway.control_pool, options, std::move(request),
-      [&gateway, from](const upstream::BufferedResponse& response) {
+      [&gateway, from, wanted = gateway.announced_configuration.version](
+          const upstream::BufferedResponse& response) {
         gateway.fetching_configuration = false;
         if (response.IsComplete() && response.header.result_int() == 200) {
           InstallConfiguration(gateway, response.body, "peer");
+          FetchLaterConfiguration(gateway, wanted);
           return;
         }
         Log(gateway, "configuration_not_fetched",
--- a/src/gateway/configuration_driver.h
+++ b/src/gateway/configuration_driver.h
@@ -20,6 +20,11 @@
                               const base::DaemonId& from,
                               fleet::ConfigurationVersion version);
 
+// Fetches again if a later version than `wanted` was announced during a fetch
+// that has ended, and is not in force yet.
+void FetchLaterConfiguration(Gateway& gateway,
+                             fleet::ConfigurationVersion wanted);
+
 // Fetches the configuration from the daemon `from`, which has a newer one. If
 // this fails, the configuration is read from the store. Does nothing while
 // another fetch or read of the configuration is in progress.
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -400,22 +400,25 @@
   if (gateway.fetching_configuration)
     return;
   gateway.fetching_configuration = true;
-  ReadStore(gateway, platform::MakeReadItemRequest(platform::kConfigurationKey),
-            base::Duration(0), [&gateway](const StoreResponse& response) {
-              gateway.fetching_configuration = false;
-              const auto item = platform::ParseItem(response.body);
-              // The operator has not written a configuration yet. The first one
-              // will arrive as a change.
-              if (response.status == 404)
-                return;
-              if (response.status != 200 || !item) {
-                ScheduleConfigurationRead(gateway,
-                                          ReadRetryDelay(gateway, response));
-                return;
-              }
-              if (InstallConfiguration(gateway, item.value().value, "store"))
-                AnnounceConfiguration(gateway);
-            });
+  const fleet::ConfigurationVersion wanted =
+      gateway.announced_configuration.version;
+  ReadStore(
+      gateway, platform::MakeReadItemRequest(platform::kConfigurationKey),
+      base::Duration(0), [&gateway, wanted](const StoreResponse& response) {
+        gateway.fetching_configuration = false;
+        const auto item = platform::ParseItem(response.body);
+        // The operator has not written a configuration yet. The first one
+        // will arrive as a change.
+        if (response.status == 404)
+          return;
+        if (response.status != 200 || !item) {
+          ScheduleConfigurationRead(gateway, ReadRetryDelay(gateway, response));
+          return;
+        }
+        if (InstallConfiguration(gateway, item.value().value, "store"))
+          AnnounceConfiguration(gateway);
+        FetchLaterConfiguration(gateway, wanted);
+      });
 }
 
 void LogMember(Gateway& gateway,
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -885,6 +885,24 @@
   BOOST_TEST((clock::Now() - acknowledged_at < kConfigurationBound));
 }
 
+// Guards against a version that is not in force because it was announced while
+// an earlier one was being fetched.
+BOOST_FIXTURE_TEST_CASE(ConfigurationsAnnouncedDuringFetchesAreFetched,
+                        AnnouncedConfigurationFleet) {
+  this->WriteUnseenConfiguration(2);
+  std::string response = this->MakeConfigurationResponse();
+  this->AddMember([&response](auto&) { return response; });
+  OnViewUpdate(*this->gateway, this->member, this->MakeUpdate(2));
+  OnViewUpdate(*this->gateway, this->member, this->MakeUpdate(3));
+  BOOST_REQUIRE(this->RunUntil(
+      [this] { return GetConfigurationVersion(*this->gateway) == 2; }));
+  this->WriteConfiguration(3);
+  this->gateway->view.as_of = {this->store->revision};
+  response = this->MakeConfigurationResponse();
+  BOOST_TEST(this->RunUntil(
+      [this] { return GetConfigurationVersion(*this->gateway) == 3; }));
+}
+
 // Guards against a shutdown that breaks off requests in progress or accepts
 // requests that it cannot finish, and against callers that are still sent to a
 // gateway that drains.
