Confirm a view only with the configuration that belongs to it

Seen: a gateway whose configuration was older than that of the reader counted its view as confirmed with each reply and so did not read the store itself; and a read that it made for other reasons did not bring the configuration, as its view was complete up to a later revision.

Cause: upstreams and members carry the revision up to which they are known, the configuration does not, and what confirms the view said nothing of it. It is the same class as the entry that changed its service: two states that belong together and are advanced apart.

Change: a reply confirms the view only if the configuration that it names is in force, and a read round also reads the configuration if a later one has been announced.

Test: ViewsWithOlderConfigurationsAreNotConfirmed; it failed on the code before.

--- a/src/gateway/configuration_driver.cc
+++ b/src/gateway/configuration_driver.cc
@@ -89,10 +89,15 @@
   return true;
 }
 
+bool HasConfiguration(const Gateway& gateway,
+                      fleet::ConfigurationVersion version) {
+  return GetVersionInForce(gateway) >= version;
+}
+
 void OnConfigurationAnnounced(Gateway& gateway,
                               const base::DaemonId& from,
                               fleet::ConfigurationVersion version) {
-  if (version <= GetVersionInForce(gateway))
+  if (HasConfiguration(gateway, version))
     return;
   if (version > gateway.announced_configuration.version) {
     const base::TimePoint now = clock::Now();
@@ -112,7 +117,7 @@
                              fleet::ConfigurationVersion wanted) {
   const AnnouncedConfiguration& announced = gateway.announced_configuration;
   if (announced.version > wanted &&
-      announced.version > GetVersionInForce(gateway))
+      !HasConfiguration(gateway, announced.version))
     FetchConfiguration(gateway, announced.from);
 }
 
--- a/src/gateway/configuration_driver.h
+++ b/src/gateway/configuration_driver.h
@@ -14,6 +14,10 @@
                           const std::string& text,
                           const char* source);
 
+// Returns whether `version` or a later one is in force.
+bool HasConfiguration(const Gateway& gateway,
+                      fleet::ConfigurationVersion version);
+
 // Handles the news that the daemon `from` has `version` in force. Fetches that
 // configuration if it is later than the one in force here.
 void OnConfigurationAnnounced(Gateway& gateway,
--- a/src/gateway/store_driver.cc
+++ b/src/gateway/store_driver.cc
@@ -358,9 +358,10 @@
     ListStore(gateway);
     return;
   }
-  // The lists may have come from another daemon that has no configuration, in
-  // which case none has been read yet.
-  if (!gateway.configuration)
+  // The lists may have come from another daemon, without the configuration that
+  // the store held at that revision. A watch from there does not bring it.
+  if (!gateway.configuration ||
+      !HasConfiguration(gateway, gateway.announced_configuration.version))
     ReadConfigurationFromStore(gateway);
   const base::Duration wait = ReadRoundWait(gateway);
   gateway.store.read_round_wait = wait;
--- a/src/gateway/view_update_driver.cc
+++ b/src/gateway/view_update_driver.cc
@@ -266,11 +266,13 @@
         {update.unavailable.begin(), update.unavailable.end()}, now};
   if (update.unknown_member)
     RestartRegistration(gateway);
-  const bool is_complete = update.part_count > 0 && !update.more &&
-                           gateway.view.as_of >= update.as_of;
+  OnConfigurationAnnounced(gateway, from, update.configuration_version);
+  const bool is_complete =
+      update.part_count > 0 && !update.more &&
+      gateway.view.as_of >= update.as_of &&
+      HasConfiguration(gateway, update.configuration_version);
   if (update.read_age && is_complete)
     fleet::ConfirmView(gateway.freshness, now - *update.read_age);
-  OnConfigurationAnnounced(gateway, from, update.configuration_version);
 }
 
 bool IsReceivingList(const Gateway& gateway) {
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -903,6 +903,22 @@
       [this] { return GetConfigurationVersion(*this->gateway) == 3; }));
 }
 
+// Guards against a view that counts as confirmed although the configuration is
+// older than that of the store reader, so that the store is not read directly.
+BOOST_FIXTURE_TEST_CASE(ViewsWithOlderConfigurationsAreNotConfirmed,
+                        AnnouncedConfigurationFleet) {
+  this->AddMember([](auto&) { return std::string(); });
+  this->gateway->freshness.confirmed_at = {};
+  datagram::ViewUpdate update = this->MakeUpdate(2);
+  update.part_count = 1;
+  update.read_age = base::Duration(0);
+  OnViewUpdate(*this->gateway, this->member, update);
+  BOOST_TEST((this->gateway->freshness.confirmed_at == base::TimePoint{}));
+  update.configuration_version = {1};
+  OnViewUpdate(*this->gateway, this->member, update);
+  BOOST_TEST((this->gateway->freshness.confirmed_at != base::TimePoint{}));
+}
+
 // Guards against a shutdown that breaks off requests in progress or accepts
 // requests that it cannot finish, and against callers that are still sent to a
 // gateway that drains.
