Announce configurations from every store reader

Seen: while the first reader's calls to the store hung, the other reader had the new configuration, and the gateways that depend on them heard of it only with their next Hello, up to 0.6 s later; a gateway that sent no Hello never did.

Cause: only the first reader by rank announced. Whether it is able to read is known to the others with a delay.

Change: each reader announces a configuration that it has read from the store. It is one datagram a member and change.

Test: AnyReaderAnnouncesConfigurations; on the code before the dependent gateway did not have the version after 30 s.

--- a/src/gateway/view_update_driver.cc
+++ b/src/gateway/view_update_driver.cc
@@ -204,17 +204,12 @@
   ApplyReceivedBatch(gateway, from, complete_batch, update.is_full_list, now);
 }
 
-// Sends changed records to all members if this daemon is the first store
-// reader. The update carries no revision, so it does not complete the
-// receivers' view.
-void AnnounceRecords(Gateway& gateway,
-                     const std::vector<fleet::MemberRecord>& members,
-                     const std::vector<fleet::UpstreamRecord>& upstreams) {
-  const base::TimePoint now = clock::Now();
-  const std::vector<base::DaemonId> readers =
-      fleet::SelectStoreReaders(gateway.view, now);
-  if (readers.front() != gateway.view.self)
-    return;
+// Sends records and the version of the configuration to all members. The update
+// carries no revision, so it does not complete the receivers' view.
+void SendToMembers(Gateway& gateway,
+                   const std::vector<fleet::MemberRecord>& members,
+                   const std::vector<fleet::UpstreamRecord>& upstreams,
+                   base::TimePoint now) {
   const datagram::ViewUpdate header = MakeEmptyUpdate(gateway, now);
   const fleet::ListBatch records{{}, {}, false, members, upstreams};
   for (const auto& [id, record] : gateway.view.members) {
@@ -223,6 +218,16 @@
   }
 }
 
+// Sends changed records to all members if this daemon is the first store
+// reader.
+void AnnounceRecords(Gateway& gateway,
+                     const std::vector<fleet::MemberRecord>& members,
+                     const std::vector<fleet::UpstreamRecord>& upstreams) {
+  const base::TimePoint now = clock::Now();
+  if (fleet::SelectStoreReaders(gateway.view, now).front() == gateway.view.self)
+    SendToMembers(gateway, members, upstreams, now);
+}
+
 }  // namespace
 
 void ReplyToHello(Gateway& gateway,
@@ -299,7 +304,9 @@
 }
 
 void AnnounceConfiguration(Gateway& gateway) {
-  AnnounceRecords(gateway, {}, {});
+  const base::TimePoint now = clock::Now();
+  if (IsReader(gateway, now))
+    SendToMembers(gateway, {}, {}, now);
 }
 
 }  // namespace poplarfork::gateway
--- a/src/gateway/view_update_driver.h
+++ b/src/gateway/view_update_driver.h
@@ -39,6 +39,9 @@
                        const std::vector<fleet::UpstreamRecord>& records);
 void AnnounceMembers(Gateway& gateway,
                      const std::vector<fleet::MemberRecord>& records);
+// Tells all members which configuration is in force, if this daemon is a store
+// reader. Configurations change seldom and concern every request, so the
+// members do not depend on the first reader alone.
 void AnnounceConfiguration(Gateway& gateway);
 
 }  // namespace poplarfork::gateway
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -813,6 +813,22 @@
     BOOST_TEST(!reader->store.failing);
 }
 
+// Guards against a configuration that the others hear of late because only the
+// first store reader announces it, which is the one that has failed.
+BOOST_FIXTURE_TEST_CASE(AnyReaderAnnouncesConfigurations, ReadersFleet) {
+  const std::vector<base::DaemonId> ranked =
+      fleet::SelectStoreReaders(this->dependent->view, clock::Now());
+  for (Gateway* reader : this->readers) {
+    if (reader->view.self == ranked.front())
+      this->HangStoreCalls(*reader);
+  }
+  // Without Hellos the dependent gateway hears only what is announced.
+  this->dependent->hello_timer.cancel();
+  this->WriteConfiguration(3);
+  BOOST_TEST(this->RunUntil(
+      [this] { return GetConfigurationVersion(*this->dependent) == 3; }));
+}
+
 namespace {
 
 // Gateway that hears of configurations which a member has in force. It does not
