Keep to the requests per second that upstreams state

Cause: Server-Limit was not read. Placement knows slots and durations; an upstream whose rate is limited by something else has free slots and is granted more the faster it answers.

Change: the header is decoded in platform/ and goes to the dispatcher with the attempt report, which holds a token bucket for each upstream with a limit: rate as stated, burst of half a second. Grants, coverage, trials and probes keep to it; grants that were not sent are taken back. The rate that a shard can complete follows, so that what cannot be sent is refused at once. A response without the header, to a request granted after the limit was last stated, ends it. Digests hand the limit and the tokens on; a gateway that passes such a response on remembers it in case it becomes the dispatcher.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -1,6 +1,8 @@
 #include "datagram/codec_func.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 
 #include "base/error_func.h"
 #include "fleet.pb.h"
@@ -166,6 +168,9 @@
     entry.set_running(upstream.running_count);
     entry.set_slowness(static_cast<float>(upstream.slowness));
     entry.set_uncovered_ms(ToMilliseconds(upstream.uncovered_for));
+    entry.set_has_rate_limit(upstream.rate_limit.has_value());
+    entry.set_rate_limit(upstream.rate_limit.value_or(0));
+    entry.set_rate_tokens(upstream.rate_tokens);
   }
   for (const dispatch::DurationDigest& duration : digest.durations) {
     proto::FleetDigest::Duration& entry = *body.add_durations();
@@ -184,6 +189,8 @@
   body.set_outcome(static_cast<std::uint32_t>(report.outcome));
   body.set_leaving(report.notice.is_leaving);
   body.set_pause_us(ToMicroseconds(report.notice.pause));
+  body.set_has_rate_limit(report.notice.rate_limit.has_value());
+  body.set_rate_limit(report.notice.rate_limit.value_or(0));
   body.set_duration_us(ToMicroseconds(report.duration));
   body.set_has_load(report.has_reported_load);
   body.set_running(report.reported_load.running);
@@ -197,6 +204,12 @@
   out.mutable_withdrawal()->set_attempt(withdrawal.attempt_id.value);
 }
 
+std::optional<double> DecodeRateLimit(bool has_limit, double per_second) {
+  if (!has_limit || !std::isfinite(per_second) || per_second < 0)
+    return std::nullopt;
+  return per_second;
+}
+
 Message DecodeBody(const proto::FleetHello& body) {
   Hello hello;
   hello.as_of = {body.as_of()};
@@ -316,7 +329,8 @@
   report.attempt_id = {body.attempt()};
   report.upstream = {body.upstream()};
   report.outcome = static_cast<dispatch::Outcome>(body.outcome());
-  report.notice = {body.leaving(), ToDuration(body.pause_us())};
+  report.notice = {body.leaving(), ToDuration(body.pause_us()),
+                   DecodeRateLimit(body.has_rate_limit(), body.rate_limit())};
   report.duration = ToDuration(body.duration_us());
   report.has_reported_load = body.has_load();
   report.reported_load = {body.running(), body.waiting(), body.slots()};
@@ -338,7 +352,9 @@
          upstream.leaving(),
          upstream.running(),
          upstream.slowness(),
-         std::chrono::milliseconds(upstream.uncovered_ms())});
+         std::chrono::milliseconds(upstream.uncovered_ms()),
+         DecodeRateLimit(upstream.has_rate_limit(), upstream.rate_limit()),
+         upstream.rate_tokens()});
   for (const proto::FleetDigest::Duration& duration : body.durations())
     digest.durations.push_back({duration.repeatable(), duration.priority(),
                                 ToDuration(duration.mean_us())});
--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -5,6 +5,7 @@
 
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/placement_func.h"
+#include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -159,7 +160,8 @@
   for (auto& [id, upstream] : shard_state.upstreams) {
     if (now - upstream.covered_at < interval ||
         upstream.cover_not_before > now ||
-        !MayBeSentTo(upstream, daemon, slot_request, now) || !HasRoom(upstream))
+        !MayBeSentTo(upstream, daemon, slot_request, now) ||
+        !HasRoom(upstream) || !IsWithinLimit(upstream, now))
       continue;
     if (!lossy && upstream.health_status == HealthStatus::kSuspended)
       continue;
--- a/src/dispatch/crash_func.cc
+++ b/src/dispatch/crash_func.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "dispatch/outlier_detection_func.h"
+#include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -200,6 +201,7 @@
   if (!IsCrashSuspected(dispatcher, upstream))
     return;
   upstream.crash_probe_running = true;
+  CountTowardsLimit(upstream, now);
   actions.push_back(StartProbe{upstream.entry.service, upstream.entry.id,
                                upstream.entry.address, ProbePurpose::kCrash});
 }
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -15,6 +15,7 @@
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/pause_func.h"
 #include "dispatch/placement_func.h"
+#include "dispatch/rate_limit_func.h"
 #include "dispatch/running_attempt_func.h"
 #include "dispatch/shard_state_func.h"
 #include "fleet/shard_func.h"
@@ -51,6 +52,13 @@
          outcome == Outcome::kConnectionRefused;
 }
 
+// Tells whether the upstream has sent a response to the request of an attempt
+// that ended with this outcome.
+bool IsFromUpstream(Outcome outcome) {
+  return outcome == Outcome::kServed || outcome == Outcome::kFailed ||
+         outcome == Outcome::kShed;
+}
+
 Refusal MakeRefusal(const ShardState* shard_state,
                     const SlotRequest& slot_request,
                     RefusalReason reason,
@@ -286,8 +294,13 @@
   UpstreamState& upstream = found_upstream->second;
   if (report.notice.pause > base::Duration(0))
     PauseDaemon(upstream, daemon, report.notice.pause, now);
-  if (IsNotSent(report.outcome))
+  if (IsNotSent(report.outcome)) {
     RevokeCoverage(upstream, attempt, now);
+    UncountTowardsLimit(upstream);
+  }
+  if (IsFromUpstream(report.outcome))
+    ApplyStatedLimit(upstream, report.notice.rate_limit, attempt.granted_at,
+                     now);
   CountLostAttempt(shard_state, attempt, report.outcome, now);
   UpdateCrashRecords(dispatcher, upstream, attempt, report.outcome, now,
                      actions);
--- a/src/dispatch/handover_func.cc
+++ b/src/dispatch/handover_func.cc
@@ -7,6 +7,7 @@
 #include "dispatch/coverage_func.h"
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/leaving_func.h"
+#include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -66,6 +67,8 @@
   upstream.foreign_requests =
       std::min(digest.running_count, upstream.entry.slots);
   upstream.load_reported_at = now - age;
+  if (digest.rate_limit)
+    InheritLimit(upstream, *digest.rate_limit, digest.rate_tokens, now);
   if (!digest.suspended || upstream.health_status != HealthStatus::kHealthy)
     return;
   upstream.health_status = HealthStatus::kSuspended;
@@ -111,12 +114,17 @@
   digest.sequence = ++dispatcher.digest_sequence;
   digest.retry_tokens = shard_state.retry_budget.tokens;
   digest.request_rate = shard_state.retry_budget.request_rate;
-  for (const auto& [id, upstream] : shard_state.upstreams)
+  for (const auto& [id, upstream] : shard_state.upstreams) {
     digest.upstreams.push_back(
         {id, upstream.entry.incarnation, FaultProbability(upstream, now),
          upstream.health_status == HealthStatus::kSuspended,
          IsLeaving(dispatcher, id), upstream.running_count, upstream.slowness,
-         now - upstream.covered_at});
+         now - upstream.covered_at, std::nullopt, 0});
+    if (upstream.rate_limit) {
+      digest.upstreams.back().rate_limit = upstream.rate_limit->per_second;
+      digest.upstreams.back().rate_tokens = upstream.rate_limit->tokens;
+    }
+  }
   for (const auto& [work_class, stats] : shard_state.duration_stats) {
     if (stats.samples >= kDigestSamples)
       digest.durations.push_back(
--- a/src/dispatch/handover_type.h
+++ b/src/dispatch/handover_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "base/time_type.h"
@@ -22,6 +23,10 @@
   double slowness = 1;
   // Time since which no request has been sent to the upstream.
   base::Duration uncovered_for{};
+  // Requests per second to which the upstream limits all daemons, and requests
+  // that may be sent now; empty if it states no limit.
+  std::optional<double> rate_limit = std::nullopt;
+  double rate_tokens = 0;
 };
 
 // Mean duration of one class of work.
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -144,6 +145,9 @@
   bool is_leaving = false;
   // It wants none of the daemon to which it responded for this long.
   base::Duration pause{};
+  // Requests per second that it takes from all daemons together; empty if it
+  // states no limit.
+  std::optional<double> rate_limit = std::nullopt;
 };
 
 // Load that an upstream reports in its responses.
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "dispatch/fault_estimate_func.h"
+#include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -425,9 +426,10 @@
                    base::TimePoint now,
                    Actions& actions) {
   if (upstream.health_status != HealthStatus::kSuspended || upstream.probing ||
-      upstream.suspended_until > now)
+      upstream.suspended_until > now || !IsWithinLimit(upstream, now))
     return;
   upstream.probing = true;
+  CountTowardsLimit(upstream, now);
   actions.push_back(StartProbe{upstream.entry.service, upstream.entry.id,
                                upstream.entry.address,
                                ProbePurpose::kRecovery});
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -7,6 +7,7 @@
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/pause_func.h"
+#include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
 
@@ -174,7 +175,7 @@
   double best_cost = 0;
   for (auto& [id, upstream] : shard_state.upstreams) {
     if (!IsUsable(upstream, daemon, slot_request, below_floor, now) ||
-        !HasFreeSlot(upstream, now))
+        !HasFreeSlot(upstream, now) || !IsWithinLimit(upstream, now))
       continue;
     const double cost = PlacementCost(upstream, slot_request, now, rng);
     if (!best || cost < best_cost) {
@@ -186,13 +187,6 @@
 }
 
 double CompletionRate(const ShardState& shard_state) {
-  double slots = 0;
-  for (const auto& [id, upstream] : shard_state.upstreams) {
-    if (upstream.entry.phase != fleet::UpstreamPhase::kReady ||
-        upstream.health_status == HealthStatus::kSuspended)
-      continue;
-    slots += UsableSlots(upstream) / std::clamp(upstream.slowness, 1.0, 4.0);
-  }
   double weighted = 0;
   double samples = 0;
   for (const auto& [work_class, stats] : shard_state.duration_stats) {
@@ -200,7 +194,16 @@
     samples += stats.samples;
   }
   const double mean_us = samples > 0 ? weighted / samples : kDefaultDurationUs;
-  return slots * 1e6 / mean_us;
+  double rate = 0;
+  for (const auto& [id, upstream] : shard_state.upstreams) {
+    if (upstream.entry.phase != fleet::UpstreamPhase::kReady ||
+        upstream.health_status == HealthStatus::kSuspended)
+      continue;
+    const double slots =
+        UsableSlots(upstream) / std::clamp(upstream.slowness, 1.0, 4.0);
+    rate += ApplyLimitToRate(upstream, slots * 1e6 / mean_us);
+  }
+  return rate;
 }
 
 base::Duration MeanDuration(const ShardState& shard_state,
--- a/src/dispatch/running_attempt_func.cc
+++ b/src/dispatch/running_attempt_func.cc
@@ -7,6 +7,7 @@
 #include "dispatch/coverage_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/placement_func.h"
+#include "dispatch/rate_limit_func.h"
 #include "dispatch/shard_state_func.h"
 
 namespace poplarfork::dispatch {
@@ -106,6 +107,7 @@
       {now,
        MeanDuration(shard_state, slot_request.work_class, base::Duration(0))});
   MarkCovered(upstream, now);
+  CountTowardsLimit(upstream, now);
   return dispatcher.running_attempts[{daemon, slot_request.attempt_id}] =
              attempt;
 }
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/time_type.h"
@@ -56,6 +57,16 @@
   base::TimePoint as_of{};
 };
 
+// Token bucket that holds requests to an upstream to the limit that it states.
+struct RateLimit {
+  double per_second = 0;
+  // Requests that may be sent now. Below zero after requests that could not be
+  // held back.
+  double tokens = 0;
+  base::TimePoint refilled_at{};
+  base::TimePoint stated_at{};
+};
+
 enum class HealthStatus {
   // The upstream receives requests. Logs and metrics call this status
   // "trusted".
@@ -125,6 +136,9 @@
   };
   std::map<base::DaemonId, PathFailure> path_failures;
 
+  // Empty unless the upstream states a limit, see rate_limit_func.h.
+  std::optional<RateLimit> rate_limit;
+
   // Until when the upstream wants no requests of a daemon, see pause_func.h.
   std::map<base::DaemonId, base::TimePoint> paused_daemons;
 };
--- a/src/gateway/dispatch_driver.cc
+++ b/src/gateway/dispatch_driver.cc
@@ -8,6 +8,7 @@
 #include "dispatch/handover_func.h"
 #include "dispatch/leaving_func.h"
 #include "dispatch/pause_func.h"
+#include "dispatch/rate_limit_func.h"
 #include "fleet/shard_func.h"
 #include "fleet/view_func.h"
 #include "gateway/log_func.h"
@@ -122,6 +123,20 @@
   metrics::IncrementCounter(gateway.metrics, "upstreams_paused_total");
 }
 
+void LearnRateLimit(Gateway& gateway,
+                    const base::UpstreamId& upstream,
+                    double per_second,
+                    const std::string& request_id) {
+  if (!dispatch::LearnStatedLimit(gateway.dispatcher, upstream, per_second,
+                                  clock::Now()))
+    return;
+  Log(gateway, "upstream_limited",
+      {{"upstream", upstream.value},
+       {"request", request_id},
+       {"per_second", per_second}});
+  metrics::IncrementCounter(gateway.metrics, "upstreams_limited_total");
+}
+
 // Logs the result of a health probe and passes it to the dispatcher.
 void OnProbeResponse(Gateway& gateway,
                      const dispatch::StartProbe& probe,
@@ -283,12 +298,15 @@
     LearnLeaving(gateway, upstream, request_id);
   if (notice.pause > base::Duration(0))
     LearnPause(gateway, upstream, notice.pause, request_id);
+  if (notice.rate_limit)
+    LearnRateLimit(gateway, upstream, *notice.rate_limit, request_id);
 }
 
 dispatch::UpstreamNotice KnownNotice(const Gateway& gateway,
                                      const base::UpstreamId& upstream) {
   return {dispatch::IsLeaving(gateway.dispatcher, upstream),
-          dispatch::PauseLeft(gateway.upstream_pauses, upstream, clock::Now())};
+          dispatch::PauseLeft(gateway.upstream_pauses, upstream, clock::Now()),
+          std::nullopt};
 }
 
 bool ApplyUpstreamRecord(Gateway& gateway,
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -26,6 +26,8 @@
                       {"Backend-Load", "0,0,4"}};
   if (upstream.is_leaving)
     response.headers.push_back({"Server-Leaving", "1"});
+  if (!upstream.rate_limit.empty())
+    response.headers.push_back({"Server-Limit", upstream.rate_limit});
   return response;
 }
 
@@ -123,6 +125,7 @@
                const HttpConnectionPtr& connection) {
   const std::string request_id = HeaderValue(*connection, "Attempt-Id");
   ++upstream->request_count;
+  upstream->arrivals.push_back(std::chrono::steady_clock::now());
   if (RequestPath(*connection) == "/health") {
     SendResponse(connection, MakeResponse(*upstream, request_id, 200));
     return;
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -57,6 +59,10 @@
   // their header Retry-After.
   int refusals_left = 0;
   std::string retry_after;
+  // Value of the header Server-Limit in all responses; empty for none.
+  std::string rate_limit;
+  // When each request arrived, health probes included.
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
   // All responses say that the upstream is leaving.
   bool is_leaving = false;
   // A request with this path crashes the upstream as soon as it runs: all
--- a/tests/datagram/codec_test.cc
+++ b/tests/datagram/codec_test.cc
@@ -49,12 +49,15 @@
   report.attempt_id = {42};
   report.upstream = {"u1"};
   report.outcome = dispatch::Outcome::kCancelled;
-  report.notice = {true, milliseconds(1500)};
+  report.notice = {true, milliseconds(1500), 2.5};
   report.has_reported_load = true;
   report.reported_load = {1, 2, 3};
   BOOST_TEST((EncodeAndDecode(report).outcome == report.outcome));
   BOOST_TEST(EncodeAndDecode(report).notice.is_leaving);
   BOOST_TEST((EncodeAndDecode(report).notice.pause == milliseconds(1500)));
+  BOOST_TEST((EncodeAndDecode(report).notice.rate_limit == 2.5));
+  report.notice.rate_limit = -1;
+  BOOST_TEST(!EncodeAndDecode(report).notice.rate_limit);
   BOOST_TEST(EncodeAndDecode(report).reported_load.slots == 3U);
 
   Hello hello;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -148,6 +148,24 @@
   BOOST_TEST(ParseUpstreamNotice(header).is_leaving);
 }
 
+// Guards against a limit that is misread, or that anything but a number sets.
+BOOST_AUTO_TEST_CASE(StatedLimitsAreParsed) {
+  const auto parse = [](const char* text) {
+    edge::HttpHeader header;
+    header.set("Server-Limit", text);
+    return ParseUpstreamNotice(header).rate_limit;
+  };
+  BOOST_TEST((parse("2.5") == 2.5));
+  BOOST_TEST((parse("0") == 0.0));
+  for (const char* text : {"", "-1", "1e9", "inf", "nan", "many", "1.2.3"})
+    BOOST_TEST(!parse(text).has_value());
+  edge::HttpHeader header;
+  BOOST_TEST(!ParseUpstreamNotice(header).rate_limit.has_value());
+  header.insert("Server-Limit", "7");
+  header.insert("Server-Limit", "3");
+  BOOST_TEST((ParseUpstreamNotice(header).rate_limit == 3.0));
+}
+
 // Guards against a route, its type, its objective or the limits being lost when
 // a configuration is decoded.
 BOOST_AUTO_TEST_CASE(ConfigurationsAreDecoded) {
