Answer all requests before a drained process stops

Seen, as other operators reported it: requests accepted during the grace time and still at their upstream at its end were cut without an answer, among them orders. Measured with a grace time of 2 s: an order in progress at SIGTERM and one accepted after it, both at an upstream that hangs, had no answer when the process stopped.

Cause: requests are accepted for half of the grace time whatever their deadline, and what is not finished at its end was cut with the event loop. Most responses take a fraction of the time, so planned stops in calm rarely showed it.

Change: from SIGTERM on, no deadline lies later than 100 ms before the process stops, so each caller is told 504, and an upstream is given no more time than is left. Later than 3 s after SIGTERM, as far as the grace time is that long, only requests are accepted whose callers do not wait beyond that; others are refused at once as not run.

Tests: DrainingGatewaysAnswerBeforeTheyStop and DrainingGatewaysAcceptWhatTheyCanFinish, both failed on the code before.

--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -325,11 +325,6 @@
                   http::status::service_unavailable, "no_configuration");
     return;
   }
-  if (!CanFinishNewRequests(gateway)) {
-    RejectRequest(gateway, *session, http_request,
-                  http::status::service_unavailable, "draining");
-    return;
-  }
   const auto host = http_request[http::field::host];
   const auto target = http_request.target();
   const fleet::Route* route =
@@ -343,6 +338,17 @@
   const base::TimePoint now = clock::Now();
   const platform::RequestFields fields =
       platform::ParseRequestFields(http_request);
+  const base::Duration caller_time_left =
+      fields.time_left
+          ? std::max(*fields.time_left - kResponseMargin, base::Duration(0))
+          : route->timeout;
+  const base::TimePoint deadline =
+      now + std::min(route->timeout, caller_time_left);
+  if (!CanFinishRequest(gateway, deadline)) {
+    RejectRequest(gateway, *session, http_request,
+                  http::status::service_unavailable, "draining");
+    return;
+  }
   const RequestNumber number{gateway.next_request_number++};
   auto active_request = std::make_unique<ActiveRequest>();
   active_request->session = session;
@@ -358,11 +364,7 @@
   arrival.shard_slots = GetShardSlots(gateway, arrival.work_class.service);
   arrival.fingerprint = ComputeFingerprint(*session, http_request);
   arrival.late_at = now + route->latency_objective;
-  const base::Duration caller_time_left =
-      fields.time_left
-          ? std::max(*fields.time_left - kResponseMargin, base::Duration(0))
-          : route->timeout;
-  arrival.deadline = now + std::min(route->timeout, caller_time_left);
+  arrival.deadline = std::min(deadline, LatestResponseAt(gateway));
   arrival.max_attempts = route->max_attempts;
   active_request->http_request = std::move(http_request);
   ActiveRequest& started_request = *active_request;
@@ -373,6 +375,14 @@
                                        MakeContext(gateway, number), now));
 }
 
+void LimitDeadlines(Gateway& gateway, base::TimePoint latest) {
+  for (const auto& [number, active_request] : gateway.requests) {
+    base::TimePoint& deadline = active_request->state.arrival.deadline;
+    deadline = std::min(deadline, latest);
+  }
+  ArmRequestTimer(gateway, latest);
+}
+
 void OnCallerDisconnected(Gateway& gateway, const edge::Session& session) {
   const auto found = gateway.requests_by_session.find(&session);
   if (found == gateway.requests_by_session.end())
--- a/src/gateway/request_driver.h
+++ b/src/gateway/request_driver.h
@@ -12,6 +12,9 @@
                      const std::shared_ptr<edge::Session>& session,
                      edge::HttpRequest http_request);
 
+// Answers all requests in progress by `latest`, whatever their deadlines.
+void LimitDeadlines(Gateway& gateway, base::TimePoint latest);
+
 // Ends the request of a caller that has closed its connection.
 void OnCallerDisconnected(Gateway& gateway, const edge::Session& session);
 
--- a/src/gateway/shutdown.cc
+++ b/src/gateway/shutdown.cc
@@ -5,6 +5,7 @@
 #include "gateway/log_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/registration.h"
+#include "gateway/request_driver.h"
 
 namespace poplarfork::gateway {
 
@@ -24,6 +25,14 @@
 // time is for finishing them.
 constexpr int kAcceptTimeDivisor = 2;
 
+// Time after the start of a drain during which requests are accepted although
+// their callers may wait until after the end of the process. Most responses
+// take a fraction of that time.
+constexpr base::Duration kMaxAcceptTime = std::chrono::seconds(3);
+
+// Time before the stop of the process at which the last requests are answered.
+constexpr base::Duration kResponseTime = std::chrono::milliseconds(100);
+
 // Interval at which a draining daemon checks whether it may stop.
 constexpr base::Duration kDrainCheckInterval = std::chrono::milliseconds(100);
 
@@ -56,10 +65,19 @@
 
 }  // namespace
 
-bool CanFinishNewRequests(const Gateway& gateway) {
-  return !gateway.draining ||
-         clock::Now() - gateway.drain_started_at <
-             gateway.settings.grace_time / kAcceptTimeDivisor;
+bool CanFinishRequest(const Gateway& gateway, base::TimePoint deadline) {
+  if (!gateway.draining)
+    return true;
+  const base::Duration drain_time = clock::Now() - gateway.drain_started_at;
+  return drain_time < gateway.settings.grace_time / kAcceptTimeDivisor &&
+         (drain_time < kMaxAcceptTime || deadline <= LatestResponseAt(gateway));
+}
+
+base::TimePoint LatestResponseAt(const Gateway& gateway) {
+  return gateway.draining
+             ? gateway.drain_started_at + gateway.settings.grace_time -
+                   kStopMargin - kResponseTime
+             : base::TimePoint::max();
 }
 
 void StartDrain(Gateway& gateway) {
@@ -75,6 +93,7 @@
   SendDigests(gateway);
   Unregister(gateway);
   gateway.front_server->CloseAfterResponses();
+  LimitDeadlines(gateway, LatestResponseAt(gateway));
   StopWhenDrained(gateway);
 }
 
--- a/src/gateway/shutdown.h
+++ b/src/gateway/shutdown.h
@@ -10,7 +10,13 @@
 // latest shortly before the grace time ends.
 void StartDrain(Gateway& gateway);
 
-// Returns whether a new request can still be finished before the process ends.
-bool CanFinishNewRequests(const Gateway& gateway);
+// Returns whether a new request whose caller waits until `deadline` is
+// accepted: it can be finished before the process ends, or the drain has just
+// begun.
+bool CanFinishRequest(const Gateway& gateway, base::TimePoint deadline);
+
+// Returns when a request is answered at the latest, so that the response has
+// left before the process ends; the end of time unless this daemon drains.
+base::TimePoint LatestResponseAt(const Gateway& gateway);
 
 }  // namespace poplarfork::gateway
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -970,6 +970,45 @@
              std::string::npos);
 }
 
+// Guards against requests that are cut without an answer at the end of the
+// grace time, those in progress at its start and those accepted during it.
+BOOST_FIXTURE_TEST_CASE(DrainingGatewaysAnswerBeforeTheyStop, TwoGatewayFleet) {
+  constexpr milliseconds kGraceTime(2000);
+  this->first->settings.grace_time = kGraceTime;
+  this->SetFault(Fault::kHang);
+  const auto earlier =
+      this->Send(*this->first,
+                 {.request_id = "e", .is_order = true, .deadline_ms = "5000"});
+  BOOST_REQUIRE(this->RunUntil([this] { return CountRuns(*this, "e") == 1; }));
+  StartDrain(*this->first);
+  const base::TimePoint stops_at = clock::Now() + kGraceTime;
+  const auto later =
+      this->Send(*this->first,
+                 {.request_id = "l", .is_order = true, .deadline_ms = "5000"});
+  BOOST_REQUIRE(this->RunUntil([&] { return earlier->ended && later->ended; }));
+  BOOST_TEST((clock::Now() < stops_at));
+  BOOST_TEST(earlier->status == 504U);
+  BOOST_TEST(later->status == 504U);
+}
+
+// Guards against requests that are accepted late in the grace time although
+// they may take longer than the rest of it.
+BOOST_FIXTURE_TEST_CASE(DrainingGatewaysAcceptWhatTheyCanFinish,
+                        TwoGatewayFleet) {
+  this->first->settings.grace_time = std::chrono::seconds(10);
+  StartDrain(*this->first);
+  this->first->drain_started_at -= milliseconds(4600);
+  BOOST_TEST(this->SendAndWait(*this->first, {.request_id = "long",
+                                              .is_order = true,
+                                              .deadline_ms = "7000"})
+                 .status == 503U);
+  BOOST_TEST(CountRuns(*this, "long") == 0);
+  BOOST_TEST(this->SendAndWait(*this->first, {.request_id = "short",
+                                              .is_order = true,
+                                              .deadline_ms = "3000"})
+                 .status == 200U);
+}
+
 // Guards against requests that fail because the dispatcher of their service has
 // failed and no other daemon takes its place.
 BOOST_FIXTURE_TEST_CASE(AnotherDaemonReplacesFailedDispatcher,
