--- a/src/soak/caller_func.cc
+++ b/src/soak/caller_func.cc
@@ -10,6 +10,7 @@
 #include "soak/configuration_check_func.h"
 #include "soak/fleet_func.h"
 #include "soak/gateway_process_func.h"
+#include "standin/platform_caller_func.h"
 #include "upstream/whole_call.h"
 
 namespace poplarfork::soak {
@@ -34,10 +35,8 @@
                          std::to_string(fleet.next_request++);
   auto request = std::make_shared<upstream::HttpRequest>(
       is_order ? http::verb::post : http::verb::get, target, 11);
-  request->set(http::field::host, "soak.example");
-  request->set("Attempt-Id", id);
-  request->set("Deadline-Ms",
-               std::to_string(kDeadline / std::chrono::milliseconds(1)));
+  request->set(http::field::host, kSoakHost);
+  standin::SetCallerFields(*request, id, kDeadline);
   if (is_order)
     request->body() = id;
   request->prepare_payload();
--- a/src/soak/fleet_func.cc
+++ b/src/soak/fleet_func.cc
@@ -6,14 +6,15 @@
 #include <iomanip>
 #include <iostream>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
 
 #include "clock/now_func.h"
 #include "soak/configuration_check_func.h"
 #include "soak/gateway_process_func.h"
 #include "standin/http_server_func.h"
+#include "standin/platform_operator_func.h"
 #include "standin/platform_store_func.h"
 #include "standin/platform_upstream_func.h"
 
@@ -21,7 +22,6 @@
 
 namespace {
 
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr base::Duration kHeartbeat = milliseconds(1500);
@@ -34,17 +34,6 @@
     boost::asio::ip::make_address("127.0.0.1"),
     0);
 
-Json MakeRouteJson(const std::string& prefix, const char* route_type) {
-  return {{"host", "soak.example"},
-          {"pathPrefix", prefix},
-          {"routeType", route_type},
-          {"timeout", "4000ms"},
-          {"targetLatency", "1500ms"},
-          {"priority", 1},
-          {"service", "s"},
-          {"maxAttempts", 2}};
-}
-
 void WriteEntry(Fleet& fleet, const standin::PlatformUpstream& upstream) {
   standin::PutPlatformItem(*fleet.store, "servers/" + upstream.instance_id,
                            standin::MakePlatformUpstreamEntry(
@@ -126,24 +115,13 @@
 
 void WriteNextConfiguration(Fleet& fleet) {
   const std::uint64_t version = ++fleet.version;
-  Json routes = {{"look", MakeRouteJson("/look/", "idempotent")},
-                 {"order", MakeRouteJson("/order/", "non_idempotent")}};
+  std::vector<standin::PlatformRoute> routes = {{"look", "/look/", true},
+                                                {"order", "/order/", false}};
   const std::uint64_t first =
       version > kKeptVersions ? version - kKeptVersions : 1;
   for (std::uint64_t kept = first; kept <= version; ++kept)
-    routes["v" + std::to_string(kept)] =
-        MakeRouteJson(VersionPrefix(kept), "idempotent");
-  const Json configuration = {
-      {"version", version},
-      {"routes", routes},
-      {"services",
-       {{"s", {{"healthPath", "/health"}, {"maxConnections", 330}}}}},
-      {"limits",
-       {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 100000},
-        {"headerTimeout", "5s"},
-        {"idleTimeout", "20s"}}}};
-  standin::PutPlatformItem(*fleet.store, "op/config", configuration.dump());
+    routes.push_back({"v" + std::to_string(kept), VersionPrefix(kept), true});
+  standin::PutPlatformConfiguration(*fleet.store, version, kSoakHost, routes);
   RecordAcknowledgement(fleet.check, version, clock::Now());
   WriteRecord(fleet, "version " + std::to_string(version) + " acknowledged");
 }
--- a/src/soak/fleet_func.h
+++ b/src/soak/fleet_func.h
@@ -6,6 +6,9 @@
 
 namespace poplarfork::soak {
 
+// Host of all requests.
+inline constexpr const char* kSoakHost = "soak.example";
+
 // Starts the store, the upstreams and the gateways and writes the first
 // configuration.
 void StartFleet(Fleet& fleet);
--- a/src/soak/trouble_func.cc
+++ b/src/soak/trouble_func.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cmath>
 #include <csignal>
+#include <string>
 
 #include "base/rng_func.h"
 #include "base/time_func.h"
@@ -11,6 +13,7 @@
 #include "soak/configuration_check_func.h"
 #include "soak/fleet_func.h"
 #include "soak/gateway_process_func.h"
+#include "soak/limit_check_func.h"
 #include "standin/http_server_func.h"
 #include "standin/platform_store_func.h"
 
@@ -122,6 +125,37 @@
   SignalProcess(gateway, SIGHUP);
 }
 
+// Adds a violation if the upstream has got more requests than its limit allows
+// since `since`, and ends the limit.
+void EndLimit(Fleet& fleet,
+              standin::PlatformUpstream& upstream,
+              std::chrono::steady_clock::time_point since) {
+  const double limit = std::stod(upstream.rate_limit);
+  upstream.rate_limit.clear();
+  const std::size_t most =
+      MostArrivals(upstream.arrivals, since, std::chrono::steady_clock::now());
+  if (most > AllowedArrivals(limit))
+    fleet.violations.push_back(
+        upstream.instance_id + " states a limit of " + std::to_string(limit) +
+        " and got " + std::to_string(most) + " requests in a window, " +
+        std::to_string(AllowedArrivals(limit)) + " allowed");
+}
+
+void LimitUpstream(Fleet& fleet) {
+  const std::size_t index =
+      base::UniformBelow(fleet.rng, fleet.upstreams.size());
+  const standin::PlatformUpstreamPtr upstream = fleet.upstreams[index];
+  if (!upstream->rate_limit.empty())
+    return;
+  upstream->rate_limit =
+      std::to_string(1 + base::UniformBelow(fleet.rng, 6)) + ".5";
+  WriteRecord(fleet, upstream->instance_id + " states a limit of " +
+                         upstream->rate_limit);
+  const auto since = std::chrono::steady_clock::now() + kLimitLearningTime;
+  RunAfter(fleet, DrawDuration(fleet, milliseconds(8000), milliseconds(14000)),
+           [&fleet, upstream, since] { EndLimit(fleet, *upstream, since); });
+}
+
 struct Trouble {
   const char* name;
   void (*start)(Fleet&);
@@ -136,6 +170,7 @@
     Trouble{"cut_watches", CutWatches},
     Trouble{"drop_history", DropHistory},
     Trouble{"reload", Reload},
+    Trouble{"limit", LimitUpstream},
 };
 
 // Returns whether a trouble may be drawn in this run.
--- a/tests/gateway/rate_limit_test.cc
+++ b/tests/gateway/rate_limit_test.cc
@@ -1,13 +1,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <string>
-#include <vector>
 
 #include "clock/now_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/shutdown.h"
-#include "standin/platform_store_func.h"
+#include "soak/limit_check_func.h"
 #include "tests/gateway/fleet_fixture.h"
 
 namespace poplarfork::gateway {
@@ -17,13 +17,6 @@
 using std::chrono::milliseconds;
 
 constexpr double kLimit = 2;
-constexpr milliseconds kWindow(4000);
-// Time after which an upstream's limit holds.
-constexpr milliseconds kLearningTime(3000);
-// Requests that an upstream may get in a window: one and a half times what its
-// limit allows, and five.
-constexpr std::size_t kMaxArrivals =
-    static_cast<std::size_t>(1.5 * 4 * kLimit + 5);
 
 // Fleet whose upstreams take two requests a second each.
 struct LimitedFleet : FleetFixture {
@@ -56,19 +49,12 @@
   }
 
   // Returns the most requests that an upstream got in one window.
-  std::size_t MostArrivals(base::TimePoint since) const {
+  std::size_t MostArrivals(std::chrono::steady_clock::time_point since) const {
     std::size_t most = 0;
-    for (const auto& [id, upstream] : this->upstreams) {
-      const auto& arrivals = upstream->arrivals;
-      for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
-        if (base::TimePoint(std::chrono::duration_cast<base::Duration>(
-                first->time_since_epoch())) < since)
-          continue;
-        const auto last =
-            std::lower_bound(first, arrivals.end(), *first + kWindow);
-        most = std::max(most, static_cast<std::size_t>(last - first));
-      }
-    }
+    for (const auto& [id, upstream] : this->upstreams)
+      most =
+          std::max(most, soak::MostArrivals(upstream->arrivals, since,
+                                            std::chrono::steady_clock::now()));
     return most;
   }
 
@@ -80,23 +66,27 @@
 // Guards against upstreams that get more requests than the limit that they
 // state, whichever gateways the requests come from.
 BOOST_FIXTURE_TEST_CASE(StatedLimitsAreKept, LimitedFleet) {
-  const base::TimePoint limited_since = clock::Now() + kLearningTime;
-  this->SendRequests(kLearningTime + kWindow + milliseconds(1000), 3);
-  BOOST_TEST(this->MostArrivals(limited_since) <= kMaxArrivals);
+  const auto limited_since =
+      std::chrono::steady_clock::now() + soak::kLimitLearningTime;
+  this->SendRequests(milliseconds(8000), 3);
+  BOOST_TEST(this->MostArrivals(limited_since) <=
+             soak::AllowedArrivals(kLimit));
   BOOST_TEST(this->MostArrivals(limited_since) >= kLimit * 2);
 }
 
 // Guards against a dispatcher that does not know the limits which the one
 // before it has kept to.
 BOOST_FIXTURE_TEST_CASE(StatedLimitsAreKeptAfterHandOver, LimitedFleet) {
-  const base::TimePoint limited_since = clock::Now() + kLearningTime;
-  this->SendRequests(kLearningTime + milliseconds(1000), 3);
+  const auto limited_since =
+      std::chrono::steady_clock::now() + soak::kLimitLearningTime;
+  this->SendRequests(milliseconds(4000), 3);
   // Each gateway dispatches in turn.
   StartDrain(*this->gateways[2]);
   this->SendRequests(milliseconds(2000), 2);
   StartDrain(*this->gateways[1]);
-  this->SendRequests(kWindow, 1);
-  BOOST_TEST(this->MostArrivals(limited_since) <= kMaxArrivals);
+  this->SendRequests(milliseconds(4000), 1);
+  BOOST_TEST(this->MostArrivals(limited_since) <=
+             soak::AllowedArrivals(kLimit));
 }
 
 }  // namespace poplarfork::gateway
