Add the types and fields that the parts for heavy load share

Client accounts in the configuration, the account and the effective priority of a slot request, and the messages for tokens of rate limits. Nothing reads them yet.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -114,6 +114,9 @@
   body.set_service(slot_request.work_class.service.value);
   body.set_repeatable(slot_request.work_class.repeatable);
   body.set_priority(slot_request.work_class.priority);
+  body.set_account(slot_request.account.value);
+  body.set_queue_priority(slot_request.priority);
+  body.set_is_hedge(slot_request.is_hedge);
   body.set_until_late_us(ToMicroseconds(slot_request.until_late));
   body.set_until_deadline_us(ToMicroseconds(slot_request.until_deadline));
   body.set_is_retry(slot_request.is_retry);
@@ -304,6 +307,9 @@
   slot_request.work_class.service = {body.service()};
   slot_request.work_class.repeatable = body.repeatable();
   slot_request.work_class.priority = body.priority();
+  slot_request.account = {body.account()};
+  slot_request.priority = body.queue_priority();
+  slot_request.is_hedge = body.is_hedge();
   slot_request.until_late = ToDuration(body.until_late_us());
   slot_request.until_deadline = ToDuration(body.until_deadline_us());
   slot_request.is_retry = body.is_retry();
@@ -335,7 +341,7 @@
 
 base::Result<Message> DecodeBody(const proto::FleetRefusal& body) {
   if (body.reason() >
-      static_cast<std::uint32_t>(dispatch::RefusalReason::kUpstreamsPaused))
+      static_cast<std::uint32_t>(dispatch::RefusalReason::kOverAllowance))
     return MakeMalformedError("unknown refusal reason");
   dispatch::Refusal refusal;
   refusal.attempt_id = {body.attempt()};
@@ -431,6 +437,8 @@
       return DecodeBody(in.digest());
     case FleetDatagram::kCrashes:
       return DecodeBody(in.crashes());
+    case FleetDatagram::kTokenAsk:
+    case FleetDatagram::kTokenGrant:
     case FleetDatagram::BODY_NOT_SET:
       break;
   }
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -49,6 +49,12 @@
   std::uint32_t shard_index = 0;
   std::uint32_t shard_count = 1;
   WorkClass work_class;
+  // Client account whose rate limit the request counts towards; empty if there
+  // is none.
+  base::AccountId account;
+  // Priority in the queue, which is that of the account or else that of the
+  // route; 0 is the most urgent.
+  std::uint32_t priority = 0;
   // Time that is left until the response misses the latency objective, and
   // until the caller stops waiting.
   base::Duration until_late{};
@@ -56,6 +62,9 @@
   // An earlier attempt may have reached an upstream, so this one is taken from
   // the retry budget.
   bool is_retry = false;
+  // The earlier attempt still runs, and the first response that arrives is
+  // delivered.
+  bool is_hedge = false;
   // The request has been granted an upstream before that could not be used, so
   // it has already waited.
   bool was_granted = false;
@@ -99,6 +108,8 @@
   kExpired,
   // All upstreams want no requests of the daemon for some time.
   kUpstreamsPaused,
+  // The request exceeds the rate limit of its client account.
+  kOverAllowance,
 };
 
 // The dispatcher refuses a slot request. No attempt has been sent for this slot
--- a/src/fleet/configuration_type.h
+++ b/src/fleet/configuration_type.h
@@ -7,6 +7,7 @@
 
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "fleet/client_account_type.h"
 #include "fleet/ids_type.h"
 
 namespace poplarfork::fleet {
@@ -57,6 +58,8 @@
   // Routes by host name in lower case, those with the longest prefix first.
   std::map<std::string, std::vector<Route>, std::less<>> routes_by_host;
   std::map<base::ServiceId, Service> services;
+  // Empty if callers need no accounts.
+  std::map<base::AccountId, ClientAccount> accounts;
   CallerLimits limits;
 };
 
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -357,6 +357,7 @@
   arrival.work_class = {
       fleet::ChooseTarget(gateway.traffic_split_state, *route, gateway.rng),
       route->repeatable, route->priority};
+  arrival.priority = route->priority;
   active_request->service_name = arrival.work_class.service.value;
   arrival.shard_slots = GetShardSlots(gateway, arrival.work_class.service);
   arrival.fingerprints = ComputeFingerprints(*session, http_request);
--- a/src/gateway/response_func.cc
+++ b/src/gateway/response_func.cc
@@ -21,9 +21,13 @@
   return text;
 }
 
-// Returns the status of the response for a failed request. 503 promises that
-// the request has not run, so it is used for no other failure.
+// Returns the status of the response for a failed request. 503 and 429 promise
+// that the request has not run, so they are used for no other failure.
 http::status FailureStatus(const request::RespondWithFailure& failure) {
+  if (failure.not_run && failure.failure == request::Failure::kOverAllowance)
+    return http::status::too_many_requests;
+  if (failure.not_run && failure.failure == request::Failure::kKeyWithdrawn)
+    return http::status::unauthorized;
   if (failure.not_run)
     return http::status::service_unavailable;
   if (failure.failure == request::Failure::kTimeout)
@@ -47,6 +51,10 @@
       return "upstreams_paused";
     case request::Failure::kCrashesUpstreams:
       return "crashes_upstreams";
+    case request::Failure::kOverAllowance:
+      return "over_allowance";
+    case request::Failure::kKeyWithdrawn:
+      return "key_withdrawn";
     case request::Failure::kShedByUpstreams:
       return "shed_by_upstreams";
     case request::Failure::kUnreachable:
@@ -77,6 +85,8 @@
       return "dispatcher_not_ready";
     case dispatch::RefusalReason::kExpired:
       return "expired_while_waiting";
+    case dispatch::RefusalReason::kOverAllowance:
+      return "over_allowance";
   }
   return "unknown";
 }
--- a/src/request/action_type.h
+++ b/src/request/action_type.h
@@ -16,6 +16,10 @@
   kExpired,
   kUpstreamsPaused,
   kCrashesUpstreams,
+  // The client account is over its rate limit.
+  kOverAllowance,
+  // The key of the client account was withdrawn while the request waited.
+  kKeyWithdrawn,
   kShedByUpstreams,
   kUnreachable,
   // It is not known whether the request has run: the connection broke before
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -52,6 +52,8 @@
   slot_request.shard_index = request.shard_index;
   slot_request.shard_count = ShardCount(request);
   slot_request.work_class = request.arrival.work_class;
+  slot_request.account = request.arrival.account;
+  slot_request.priority = request.arrival.priority;
   slot_request.until_late = TimeLeft(request.arrival.late_at, now);
   slot_request.until_deadline = TimeLeft(request.arrival.deadline, now);
   slot_request.is_retry = request.slot_request_is_retry;
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -32,6 +32,10 @@
 struct Arrival {
   RequestNumber number;
   dispatch::WorkClass work_class;
+  // Client account of the caller; empty if there is none.
+  base::AccountId account;
+  // Priority in the dispatcher's queue.
+  std::uint32_t priority = 0;
   // The family decides on the shard, so that one dispatcher sees all
   // repetitions.
   dispatch::RequestFingerprints fingerprints;
--- a/src/request/result_func.cc
+++ b/src/request/result_func.cc
@@ -63,6 +63,8 @@
       return Failure::kExpired;
     case RefusalReason::kUpstreamsPaused:
       return Failure::kUpstreamsPaused;
+    case RefusalReason::kOverAllowance:
+      return Failure::kOverAllowance;
   }
   return Failure::kOverload;
 }
