Check the API keys of client accounts

The operator's configuration may list client accounts with keys. Until now they were ignored: every request was served, and upstreams saw the caller's Authorization and Tenant fields as sent.

With `tenants` in the configuration, a request needs the key of an account unless its route is public, else it gets 401 with its own reason and nothing runs. The decision is a pure function over a digest of the key (BLAKE2b of libsodium, 16 bytes) and a hash index in the configuration; neither the decoded configuration nor an active request holds a key in plain text. Upstreams get the account's name as Tenant and no key. The account and its priority are part of the slot request. Without `tenants`, both fields are forwarded as before.

When a configuration is put into force, the accounts of all active requests are found again; those that have not been sent and whose key was withdrawn end with 401. The grant checks again, because a request whose connection failed was not waiting when the configuration came. A request that waited when accounts were introduced is decided like a new one, so that no key and no forged account reaches an upstream.

`strict_key_revocation` makes a gateway whose view has not been confirmed for `key_revocation_limit` answer requests that carry a key with 503. The settings reader gets switches for it, because the platform renders true or false.

Ruled out: keeping the key in the active request for the second check; a copy of the account per key (several times the memory with 100,000 keys); a keyed hash, because the index is never sent or stored and digests of attackers' keys are only looked up.

--- a/src/fleet/configuration_type.h
+++ b/src/fleet/configuration_type.h
@@ -7,6 +7,7 @@
 
 #include "base/ids_type.h"
 #include "base/time_type.h"
+#include "fleet/account_key_index_type.h"
 #include "fleet/client_account_type.h"
 #include "fleet/ids_type.h"
 
@@ -25,6 +26,8 @@
   std::string path_prefix;
   // A request of this route may run more than once.
   bool repeatable = false;
+  // Requests of this route need no key of a client account.
+  bool is_public = false;
   // Longest time that a request may be kept waiting.
   base::Duration timeout{};
   // A response within this time is on time.
@@ -58,8 +61,11 @@
   // Routes by host name in lower case, those with the longest prefix first.
   std::map<std::string, std::vector<Route>, std::less<>> routes_by_host;
   std::map<base::ServiceId, Service> services;
+  // Requests need the key of a client account, except those of public routes.
+  bool has_accounts = false;
   // Empty if callers need no accounts.
   std::map<base::AccountId, ClientAccount> accounts;
+  AccountKeyIndex accounts_by_key;
   CallerLimits limits;
 };
 
--- a/src/gateway/active_request_type.h
+++ b/src/gateway/active_request_type.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "edge/session.h"
+#include "fleet/credential_type.h"
 #include "request/request_type.h"
 #include "upstream/whole_call.h"
 
@@ -21,6 +22,12 @@
   std::string request_id;
   std::string route_name;
   std::string service_name;
+  // Digest of the caller's key. Empty if no configuration with client accounts
+  // has been in force since the request arrived; the caller's fields are then
+  // forwarded unchanged.
+  std::optional<fleet::Credential> credential;
+  // The route needed no key when the request arrived.
+  bool is_public = false;
   std::uint64_t configuration_version = 0;
   std::shared_ptr<upstream::Exchange> exchange;
   // Attempt that `exchange` belongs to. Responses of earlier attempts are
--- a/src/gateway/attempt_driver.cc
+++ b/src/gateway/attempt_driver.cc
@@ -152,9 +152,11 @@
                              : upstream::ConnectionReuse::kForbidden;
   options.timeout = start.time_left;
   options.max_body_bytes = kMaxUpstreamResponseBytes;
-  auto request = std::make_shared<edge::HttpRequest>(
-      platform::MakeUpstreamRequest(active_request.http_request,
-                                    start.time_left, start.attempt.upstream));
+  auto request =
+      std::make_shared<edge::HttpRequest>(platform::MakeUpstreamRequest(
+          active_request.http_request, start.time_left, start.attempt.upstream,
+          active_request.credential ? &active_request.state.arrival.account
+                                    : nullptr));
   const base::TimePoint started_at = clock::Now();
   active_request.exchange_attempt_id = start.attempt.id;
   active_request.exchange = upstream::StartCall(
--- a/src/gateway/configuration_driver.cc
+++ b/src/gateway/configuration_driver.cc
@@ -5,6 +5,7 @@
 
 #include "base/error_func.h"
 #include "clock/now_func.h"
+#include "gateway/account_driver.h"
 #include "gateway/http_servers.h"
 #include "gateway/log_func.h"
 #include "gateway/store_driver.h"
@@ -82,10 +83,12 @@
        {"previous", previous_version},
        {"hosts", gateway.configuration->routes_by_host.size()},
        {"services", gateway.configuration->services.size()},
+       {"accounts", gateway.configuration->accounts.size()},
        {"source", source},
        {"announced_ms_ago", MillisecondsSinceAnnouncement(gateway)}});
   metrics::SetGauge(gateway.metrics, "configuration_version",
                     static_cast<double>(gateway.configuration->version.value));
+  RenewAccounts(gateway);
   return true;
 }
 
--- a/src/gateway/response_func.cc
+++ b/src/gateway/response_func.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "logging/json_line_func.h"
+#include "platform/request_func.h"
 
 namespace poplarfork::gateway {
 
@@ -95,7 +96,7 @@
     const request::RespondWithFailure& failure) {
   edge::HttpResponse response =
       MakeProblemResponse(FailureStatus(failure), FailureName(failure.failure));
-  if (failure.not_run)
+  if (failure.not_run && failure.failure != request::Failure::kKeyWithdrawn)
     response.set(http::field::retry_after, FormatSeconds(failure.retry_after));
   return response;
 }
@@ -104,6 +105,8 @@
                                        const char* reason) {
   edge::HttpResponse response(status, 11);
   response.set(http::field::content_type, "application/json");
+  if (status == http::status::unauthorized)
+    response.set(http::field::www_authenticate, platform::kKeyScheme);
   response.body() = logging::Fields{{"reason", reason}}.dump();
   return response;
 }
--- a/src/gateway/response_func.h
+++ b/src/gateway/response_func.h
@@ -19,7 +19,8 @@
     const request::RespondWithFailure& failure);
 
 // Builds a response with the given status and a JSON body that contains
-// `reason`.
+// `reason`. With the status 401 it names the authentication scheme, as RFC 9110
+// requires.
 edge::HttpResponse MakeProblemResponse(boost::beast::http::status status,
                                        const char* reason);
 
--- a/src/gateway/settings_driver.cc
+++ b/src/gateway/settings_driver.cc
@@ -61,6 +61,8 @@
   gateway.settings.retry_ratio = reloaded.retry_ratio;
   gateway.settings.retry_allowance = reloaded.retry_allowance;
   gateway.settings.floor_share = reloaded.floor_share;
+  gateway.settings.key_revocation_limit = reloaded.key_revocation_limit;
+  gateway.settings.strict_key_revocation = reloaded.strict_key_revocation;
   gateway.settings.seeds = reloaded.seeds;
   gateway.settings.store_address = reloaded.store_address;
   ApplyDispatchSettings(gateway);
--- a/src/gateway/settings_table.cc
+++ b/src/gateway/settings_table.cc
@@ -12,6 +12,7 @@
 using Time = settings::DurationEntry<Settings>;
 using Text = settings::TextEntry<Settings>;
 using List = settings::ListEntry<Settings>;
+using Switch = settings::BooleanEntry<Settings>;
 
 constexpr base::Duration kMillisecond = std::chrono::milliseconds(1);
 constexpr base::Duration kSecond = std::chrono::seconds(1);
@@ -36,6 +37,8 @@
          &Settings::grace_time},
     Time{"address_ttl_limit", 100 * kMillisecond, 600 * kSecond, 5 * kSecond,
          &Settings::address_ttl_limit},
+    Time{"key_revocation_limit", base::Duration(0), 600 * kSecond,
+         base::Duration(0), &Settings::key_revocation_limit},
 };
 
 constexpr std::array kTextEntries = {
@@ -58,12 +61,17 @@
     List{"seeds", &Settings::seeds},
 };
 
+constexpr std::array kBooleanEntries = {
+    Switch{"strict_key_revocation", &Settings::strict_key_revocation},
+};
+
 }  // namespace
 
 const settings::EntryTables<Settings>& GetSettingsEntries() {
   static const settings::EntryTables<Settings> tables = {
       kIntegerEntries, kDecimalEntries, kDurationEntries,
-      kTextEntries,    kListEntries,    "docs/operations/gateway.md"};
+      kTextEntries,    kListEntries,    "docs/operations/gateway.md",
+      kBooleanEntries};
   return tables;
 }
 
--- a/src/gateway/settings_type.h
+++ b/src/gateway/settings_type.h
@@ -44,6 +44,12 @@
   std::int64_t retry_allowance = 0;
   // Share of the healthy upstreams that must get requests.
   double floor_share = 0;
+  // Time after which no gateway accepts a withdrawn key, also while it is cut
+  // off; 0 for none. It has effect only with `strict_key_revocation`.
+  base::Duration key_revocation_limit{};
+  // A gateway whose view has not been confirmed for `key_revocation_limit`
+  // serves no request that carries a key.
+  bool strict_key_revocation = false;
   // Resources of the VM that this process may use: the share of a processor
   // core, the speed of that core relative to an ordinary one, and the bandwidth
   // of the link.
--- a/src/settings/entry_type.h
+++ b/src/settings/entry_type.h
@@ -30,6 +30,13 @@
   double T::*member;
 };
 
+// Describes a switch in the settings file, which is off by default.
+template <class T>
+struct BooleanEntry {
+  const char* key;
+  bool T::*member;
+};
+
 // Describes a duration with its unit, such as "1500ms" or "2.5s".
 template <class T>
 struct DurationEntry {
@@ -77,6 +84,7 @@
   // Path of the page that documents the keys. It is named in the error for an
   // unknown key.
   const char* documentation_page = "";
+  std::span<const BooleanEntry<T>> booleans = {};
 };
 
 }  // namespace poplarfork::settings
--- a/src/settings/table_reader.h
+++ b/src/settings/table_reader.h
@@ -115,6 +115,20 @@
   return std::nullopt;
 }
 
+template <class T>
+std::optional<base::Error> ReadBoolean(const BooleanEntry<T>& entry,
+                                       const YAML::Node& node,
+                                       const SourceLocation& location,
+                                       T& settings) {
+  bool value = node.IsScalar() && node.Scalar() == "1";
+  const bool is_digit = value || (node.IsScalar() && node.Scalar() == "0");
+  if (!is_digit && !YAML::convert<bool>::decode(node, value))
+    return MakeSettingsError(base::ErrorCode::kWrongType, location, entry.key,
+                             "expected true or false");
+  settings.*entry.member = value;
+  return std::nullopt;
+}
+
 template <class T>
 std::optional<base::Error> ReadDuration(const DurationEntry<T>& entry,
                                         const YAML::Node& node,
@@ -163,6 +177,8 @@
     return ReadText(*entry, node, location, settings);
   if (const auto* entry = FindEntry(tables.lists, key))
     return ReadList(*entry, node, location, settings);
+  if (const auto* entry = FindEntry(tables.booleans, key))
+    return ReadBoolean(*entry, node, location, settings);
   return MakeSettingsError(base::ErrorCode::kUnknownKey, location, key,
                            std::string("the accepted keys are listed in ") +
                                tables.documentation_page);
@@ -181,6 +197,8 @@
     settings.*entry.member = entry.default_value;
   for (const auto& entry : tables.durations)
     settings.*entry.member = entry.default_value;
+  for (const auto& entry : tables.booleans)
+    settings.*entry.member = false;
   if (!root.IsMap())
     return MakeSettingsError(base::ErrorCode::kWrongType,
                              SourceLocation{file_name, 1}, "(file)",
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -108,6 +108,7 @@
                      const HttpConnectionPtr& connection,
                      const std::string& request_id) {
   ++upstream->run_counts[request_id];
+  upstream->last_run_head = connection->head;
   auto is_disconnected = std::make_shared<bool>(false);
   WatchForClose(connection, [upstream, is_disconnected] {
     *is_disconnected = true;
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -11,6 +11,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "base/time_type.h"
+#include "standin/http_connection_type.h"
 #include "standin/http_server_type.h"
 
 namespace poplarfork::standin {
@@ -86,6 +87,8 @@
   int abandoned_runs = 0;
   // Value of the header Deadline-Ms of the latest request.
   std::string last_deadline_ms;
+  // Request line and headers of the latest run.
+  RequestHead last_run_head;
 };
 
 using PlatformUpstreamPtr = std::shared_ptr<PlatformUpstream>;
--- a/tests/gateway/fleet_fixture.cc
+++ b/tests/gateway/fleet_fixture.cc
@@ -41,6 +41,18 @@
           {"maxAttempts", 2}};
 }
 
+Json MakeAccountsJson(const std::map<std::string, FixtureAccount>& accounts) {
+  Json json = Json::object();
+  for (const auto& [name, account] : accounts) {
+    json[name] = {{"apiKeys", account.keys},
+                  {"ratePerS", account.rate_per_second},
+                  {"burst", account.burst}};
+    if (account.priority)
+      json[name]["priority"] = *account.priority;
+  }
+  return json;
+}
+
 }  // namespace
 
 FleetFixture::FleetFixture()
@@ -105,10 +117,12 @@
 void FleetFixture::WriteConfiguration(std::uint64_t version,
                                       const std::string& extra_prefix) {
   Json routes = {{"look", MakeRouteJson("/look/", "idempotent")},
-                 {"order", MakeRouteJson("/order/", "non_idempotent")}};
+                 {"order", MakeRouteJson("/order/", "non_idempotent")},
+                 {"open", MakeRouteJson("/open/", "idempotent")}};
+  routes["open"]["public"] = true;
   if (!extra_prefix.empty())
     routes["extra"] = MakeRouteJson(extra_prefix, "idempotent");
-  const Json configuration = {
+  Json configuration = {
       {"version", version},
       {"routes", routes},
       {"services",
@@ -118,16 +132,19 @@
         {"maxBodyBytes", 100000},
         {"headerTimeout", "5s"},
         {"idleTimeout", "20s"}}}};
+  if (this->accounts)
+    configuration["tenants"] = MakeAccountsJson(*this->accounts);
   standin::PutPlatformItem(*this->store, "op/config", configuration.dump());
 }
 
 std::shared_ptr<CallerResponse> FleetFixture::StartCallerRequest(
     const std::string& address,
-    edge::HttpRequest request) {
+    edge::HttpRequest request,
+    upstream::ConnectionReuse reuse) {
   auto response = std::make_shared<CallerResponse>();
   upstream::CallOptions options;
   options.address = address;
-  options.reuse = upstream::ConnectionReuse::kForbidden;
+  options.reuse = reuse;
   options.timeout = kWaitLimit;
   options.max_body_bytes = 1000000;
   this->caller_exchanges.push_back(upstream::StartCall(
@@ -141,6 +158,11 @@
         response->body = whole_response.body;
         response->retry_after =
             std::string(whole_response.header[http::field::retry_after]);
+        response->is_connection_reused =
+            whole_response.end.is_connection_reused;
+        for (const auto& field : whole_response.header)
+          response->fields += std::string(field.name_string()) + ": " +
+                              std::string(field.value()) + "\n";
       }));
   return response;
 }
@@ -154,11 +176,17 @@
   http_request.set(http::field::host, kHost);
   http_request.set("Attempt-Id", request.request_id);
   http_request.set("Deadline-Ms", request.deadline_ms);
+  for (const std::string& value : request.authorization)
+    http_request.insert(http::field::authorization, value);
+  for (const std::string& value : request.tenants)
+    http_request.insert("Tenant", value);
   if (request.is_order)
     http_request.body() = "order " + request.request_id;
   http_request.prepare_payload();
-  return this->StartCallerRequest(gateway.settings.front_address,
-                                  std::move(http_request));
+  return this->StartCallerRequest(
+      gateway.settings.front_address, std::move(http_request),
+      request.reuses_connection ? upstream::ConnectionReuse::kAllowed
+                                : upstream::ConnectionReuse::kForbidden);
 }
 
 CallerResponse FleetFixture::SendAndWait(Gateway& gateway,
--- a/tests/gateway/fleet_fixture.h
+++ b/tests/gateway/fleet_fixture.h
@@ -25,6 +25,10 @@
   unsigned status = 0;
   std::string body;
   std::string retry_after;
+  // All header fields, one "name: value" per line.
+  std::string fields;
+  // The response came on a connection that had served another request.
+  bool is_connection_reused = false;
 };
 
 // Request that a caller of the fixture sends.
@@ -36,6 +40,20 @@
   bool is_order = false;
   // Milliseconds for which the caller waits for the response.
   std::string deadline_ms = "2000";
+  // Values of the fields Authorization and Tenant, each of which may be sent
+  // more than once.
+  std::vector<std::string> authorization = {};
+  std::vector<std::string> tenants = {};
+  // Sends the request on an open connection if there is one.
+  bool reuses_connection = false;
+};
+
+// Client account of the operator's configuration.
+struct FixtureAccount {
+  std::vector<std::string> keys;
+  std::optional<unsigned> priority = std::nullopt;
+  double rate_per_second = 0;
+  double burst = 0;
 };
 
 // Gateways, upstreams and a store that run on one event loop and use the
@@ -55,9 +73,10 @@
   void WriteEntry(const standin::PlatformUpstream& upstream,
                   const std::string& state);
   // Writes the operator's configuration into the store. Its routes are /look/,
-  // whose requests are repeatable, and /order/, whose requests may run only
-  // once. If `extra_prefix` is not empty, a repeatable route with this path
-  // prefix is added.
+  // whose requests are repeatable, /order/, whose requests may run only once,
+  // and /open/, which is repeatable and needs no key of an account. If
+  // `extra_prefix` is not empty, a repeatable route with this path prefix is
+  // added.
   void WriteConfiguration(std::uint64_t version,
                           const std::string& extra_prefix = "");
 
@@ -82,10 +101,15 @@
   standin::PlatformStorePtr store;
   std::map<std::string, standin::PlatformUpstreamPtr> upstreams;
   std::vector<std::unique_ptr<Gateway>> gateways;
+  // Client accounts by name in the configurations that are written from now on;
+  // they have none if this is empty.
+  std::optional<std::map<std::string, FixtureAccount>> accounts;
 
  private:
-  std::shared_ptr<CallerResponse> StartCallerRequest(const std::string& address,
-                                                     edge::HttpRequest request);
+  std::shared_ptr<CallerResponse> StartCallerRequest(
+      const std::string& address,
+      edge::HttpRequest request,
+      upstream::ConnectionReuse reuse = upstream::ConnectionReuse::kForbidden);
 
   upstream::Pool caller_pool;
   std::vector<std::weak_ptr<upstream::Exchange>> caller_exchanges;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -247,7 +247,7 @@
   request.body() = "body";
   request.chunked(true);
   const auto upstream_request =
-      MakeUpstreamRequest(request, milliseconds(1234), {"i-1"});
+      MakeUpstreamRequest(request, milliseconds(1234), {"i-1"}, nullptr);
   BOOST_TEST(upstream_request.target() == "/a/b?c=d");
   BOOST_TEST(upstream_request.body() == "body");
   BOOST_TEST(upstream_request["Attempt-Id"] == "9c");
