Let dispatchers grant hedges within a share of the first attempts

Cause: a look-up at an upstream that hangs waits for 2.4 mean durations and is then cancelled and sent again, so that most of its time is lost.

Change: with `hedge_share` above 0, a grant of a first attempt of a repeatable request states the age from which on a hedge may be requested. It is the first age at which a fresh attempt is expected to be faster than the running one and the attempt is exceptional, from a histogram of the durations of the class and the fault probability of the upstream, and never later than the retry. A slot request with `is_hedge` is granted or refused at once: within the credit that the first attempts add to, within the retry budget, while nothing waits, at a healthy upstream that is probably not faulty, preferably in another data centre. Attempts that are cancelled because the other one was faster count as stalled beyond the time of the retry, are weaker evidence beyond 1.8 mean durations and none before that.

Ruled out: a fixed delay and a quantile, which ignore what is known of the upstream; the expected gain alone, which uses the share up on attempts that are only somewhat slow.

Tests: test_dispatch, 76 cases pass.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -140,6 +140,7 @@
   body.set_address(grant.address);
   body.set_retry_after_us(ToMicroseconds(grant.retry_after));
   body.set_waited_us(ToMicroseconds(grant.waited));
+  body.set_hedge_after_us(ToMicroseconds(grant.hedge_after));
 }
 
 void EncodeBody(FleetDatagram& out,
@@ -331,6 +332,7 @@
   grant.address = body.address();
   grant.retry_after = ToDuration(body.retry_after_us());
   grant.waited = ToDuration(body.waited_us());
+  grant.hedge_after = ToDuration(body.hedge_after_us());
   return grant;
 }
 
@@ -341,7 +343,7 @@
 
 base::Result<Message> DecodeBody(const proto::FleetRefusal& body) {
   if (body.reason() >
-      static_cast<std::uint32_t>(dispatch::RefusalReason::kOverAllowance))
+      static_cast<std::uint32_t>(dispatch::RefusalReason::kHedgeBudget))
     return MakeMalformedError("unknown refusal reason");
   dispatch::Refusal refusal;
   refusal.attempt_id = {body.attempt()};
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -11,6 +11,7 @@
 #include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
 #include "dispatch/handover_func.h"
+#include "dispatch/hedge_func.h"
 #include "dispatch/leaving_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/pause_func.h"
@@ -79,11 +80,13 @@
   const UpstreamState& upstream = *placement.upstream;
   if (!slot_request.is_retry) {
     CountFirstAttempt(dispatcher.settings, shard_state, now);
+    EarnHedgeCredit(dispatcher.settings, shard_state, slot_request);
     CountPlaced(shard_state.loss_stats, placement.for_coverage, now);
   }
   actions.push_back(SendGrant{
-      daemon, Grant{slot_request.attempt_id, upstream.entry.id,
-                    upstream.entry.address, attempt.retry_at - now, waited}});
+      daemon,
+      Grant{slot_request.attempt_id, upstream.entry.id, upstream.entry.address,
+            attempt.retry_at - now, attempt.hedge_after, waited}});
 }
 
 // Grants free slots to queued requests. Requests of a daemon that is paused at
@@ -141,7 +144,7 @@
         daemon, Grant{slot_request.attempt_id, found->second.upstream,
                       upstream->second.entry.address,
                       found->second.retry_at - found->second.granted_at,
-                      base::Duration(0)}});
+                      found->second.hedge_after, base::Duration(0)}});
     return true;
   }
   if (!IsQueued(shard_state, daemon, slot_request.attempt_id))
@@ -222,6 +225,18 @@
                             RefusalReason::kCrashesUpstreams, rng)});
     return actions;
   }
+  if (slot_request.is_hedge) {
+    const HedgeDecision decision = DecideHedge(dispatcher.settings, shard_state,
+                                               daemon, slot_request, now, rng);
+    if (decision.refusal)
+      actions.push_back(SendRefusal{
+          daemon,
+          MakeRefusal(&shard_state, slot_request, *decision.refusal, rng)});
+    else
+      GrantSlot(dispatcher, shard_state, decision.placement, daemon,
+                slot_request, base::Duration(0), now, actions);
+    return actions;
+  }
   if (slot_request.is_retry &&
       !TryTakeRetryToken(dispatcher.settings, shard_state,
                          slot_request.work_class, now)) {
@@ -262,10 +277,11 @@
 
 Actions OnAttemptReport(Dispatcher& dispatcher,
                         const base::DaemonId& daemon,
-                        const AttemptReport& report,
+                        const AttemptReport& received_report,
                         base::TimePoint now,
                         base::Rng& rng) {
   Actions actions;
+  AttemptReport report = received_report;
   const auto found =
       dispatcher.running_attempts.find({daemon, report.attempt_id});
   if (found == dispatcher.running_attempts.end() ||
@@ -276,6 +292,7 @@
     return actions;
   }
   const RunningAttempt attempt = found->second;
+  report.outcome = JudgedOutcome(attempt, report);
   dispatcher.running_attempts.erase(found);
   if (report.notice.is_leaving &&
       MarkLeaving(dispatcher, attempt.upstream, attempt.incarnation, now))
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -9,6 +9,7 @@
 
 #include "base/time_type.h"
 #include "dispatch/crash_record_type.h"
+#include "dispatch/duration_histogram_type.h"
 #include "dispatch/handover_type.h"
 #include "dispatch/message_type.h"
 #include "dispatch/settings_type.h"
@@ -35,11 +36,11 @@
   base::TimePoint deadline{};
 };
 
-// Mean duration of one class of work, computed from the responses of all
-// upstreams.
+// Durations of one class of work, computed from the responses of all upstreams.
 struct DurationStats {
   double mean_us = 0;
   std::uint32_t samples = 0;
+  DurationHistogram histogram = {};
 };
 
 // Token bucket that limits the retries of one service or shard to its part of
@@ -52,6 +53,13 @@
   bool initialized = false;
 };
 
+// Hedges that one service or shard may send. Each first attempt that is granted
+// adds the share that the deployment allows.
+struct HedgeBudget {
+  double tokens = 0;
+  bool initialized = false;
+};
+
 // An upstream that has said in a response that it is leaving.
 struct LeavingMark {
   // Zero until it is known.
@@ -85,6 +93,7 @@
   std::deque<QueuedRequest> queue;
   std::map<WorkClass, DurationStats> duration_stats;
   RetryBudget retry_budget;
+  HedgeBudget hedge_budget;
   LossStats loss_stats;
   // Time of the last slot request for this shard.
   base::TimePoint last_slot_request_at{};
--- a/src/dispatch/fault_estimate_func.cc
+++ b/src/dispatch/fault_estimate_func.cc
@@ -60,15 +60,20 @@
   return std::max(0.5 * std::erfc(deviation), kMinSurvival);
 }
 
+// Returns the factor by which an attempt that has no outcome after `elapsed`
+// changes the odds that the upstream is faulty.
+double UnansweredRatio(base::Duration elapsed, base::Duration expected) {
+  const double survival = Survival(elapsed, expected);
+  return (kLostWhenFaulty + (1 - kLostWhenFaulty) * survival) / survival;
+}
+
 // Returns the logarithm of the factor by which an open attempt changes the
 // odds that the upstream is faulty.
 double OpenAttemptLogRatio(const FaultEstimate& estimate,
                            const OpenAttempt& attempt,
                            base::TimePoint now) {
-  const double survival =
-      Survival(now - attempt.granted_at, attempt.expected_duration);
   const double ratio =
-      (kLostWhenFaulty + (1 - kLostWhenFaulty) * survival) / survival;
+      UnansweredRatio(now - attempt.granted_at, attempt.expected_duration);
   // An outcome of a later attempt says more about the present state.
   const double superseded_s =
       std::max(Seconds(estimate.as_of - attempt.granted_at), 0.0);
@@ -94,6 +99,21 @@
   estimate.as_of = std::max(estimate.as_of, granted_at);
 }
 
+void ObserveGivenUp(FaultEstimate& estimate,
+                    base::Duration age,
+                    base::Duration expected,
+                    base::TimePoint granted_at) {
+  const double lost_ratio = kLostWhenFaulty / kLostWhenHealthy;
+  const double weight =
+      std::log(UnansweredRatio(age, expected)) / std::log(lost_ratio);
+  Observe(estimate, Evidence::kLost, std::clamp(weight, 0.0, 1.0), granted_at);
+}
+
+double LossProbability(double fault_probability) {
+  return fault_probability * kLostWhenFaulty +
+         (1 - fault_probability) * kLostWhenHealthy;
+}
+
 double FaultProbability(const UpstreamState& upstream, base::TimePoint now) {
   double log_odds = std::log(ToOdds(Predict(upstream.fault_estimate, now)));
   for (const OpenAttempt& attempt : upstream.open_attempts) {
--- a/src/dispatch/fault_estimate_func.h
+++ b/src/dispatch/fault_estimate_func.h
@@ -28,6 +28,18 @@
              double weight,
              base::TimePoint granted_at);
 
+// Updates the estimate with an attempt that was given up at this age before its
+// outcome was known: the evidence that it was while it ran is kept. Attempts of
+// its class take `expected` on average.
+void ObserveGivenUp(FaultEstimate& estimate,
+                    base::Duration age,
+                    base::Duration expected,
+                    base::TimePoint granted_at);
+
+// Returns the probability that an attempt at an upstream that is faulty with
+// this probability gets no response.
+double LossProbability(double fault_probability);
+
 // Returns the probability that the upstream is faulty at `now`, including the
 // evidence of its open attempts.
 double FaultProbability(const UpstreamState& upstream, base::TimePoint now);
--- a/src/dispatch/message_type.h
+++ b/src/dispatch/message_type.h
@@ -82,6 +82,9 @@
   // If there is no response after this time, a repeatable request should be
   // retried at another upstream.
   base::Duration retry_after{};
+  // If there is no response after this time, another upstream may be asked at
+  // the same time; zero if not.
+  base::Duration hedge_after{};
   // Time that the request spent in the dispatcher's queue.
   base::Duration waited{};
 };
@@ -110,6 +113,8 @@
   kUpstreamsPaused,
   // The request exceeds the rate limit of its client account.
   kOverAllowance,
+  // The share of the requests that may be hedged is used up.
+  kHedgeBudget,
 };
 
 // The dispatcher refuses a slot request. No attempt has been sent for this slot
@@ -144,7 +149,8 @@
   kInvalidResponse,
   // There was no response within the stall time or before the deadline.
   kStalled,
-  // The caller disconnected before the outcome of the attempt was known.
+  // The caller disconnected, or another attempt has completed the request,
+  // before the outcome of the attempt was known.
   kCancelled,
   // The attempt has not ended. The daemon is alive and still waits for the
   // response after the time at which a repeatable request is retried.
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/duration_histogram_func.h"
 #include "dispatch/fault_estimate_func.h"
+#include "dispatch/hedge_func.h"
 #include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
@@ -157,6 +159,7 @@
   upstream.slowness +=
       kSlownessGain * (std::min(ratio, 8.0) - upstream.slowness);
   ++stats.samples;
+  AddDuration(stats.histogram, duration);
   const double gain =
       std::max(kMeanDurationGain,
                1.0 / (1 + std::min(stats.samples, kWarmUpSamples * 10)));
@@ -347,8 +350,10 @@
                        report.outcome == Outcome::kConnectionRefused, weight,
                        now, actions);
       break;
-    case Outcome::kUnused:
     case Outcome::kCancelled:
+      CountCancelled(shard_state, upstream, attempt, report.duration);
+      break;
+    case Outcome::kUnused:
     case Outcome::kStillRunning:
       break;
   }
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -40,6 +40,14 @@
 // the requests.
 constexpr double kTieBreakNoise = 0.05;
 
+// Cost of the data centre of the running attempt for a hedge. It is above what
+// an equally used upstream of another data centre costs.
+constexpr double kSameDataCentreHedgeCost = 1.2;
+// Fault probability up to which an upstream gets hedges. It is below the one
+// that is assumed while nothing is known, so an upstream must have responded in
+// the last seconds.
+constexpr double kMaxHedgeFaultProbability = 0.25;
+
 // Mean duration that is assumed while no duration has been measured.
 constexpr double kDefaultDurationUs = 300000;
 
@@ -186,6 +194,36 @@
   return {best, false};
 }
 
+Placement PlaceHedge(ShardState& shard_state,
+                     const base::DaemonId& daemon,
+                     const SlotRequest& slot_request,
+                     base::TimePoint now,
+                     base::Rng& rng) {
+  const auto running =
+      slot_request.avoid.empty()
+          ? shard_state.upstreams.end()
+          : shard_state.upstreams.find(slot_request.avoid.back());
+  UpstreamState* best = nullptr;
+  double best_cost = 0;
+  for (auto& [id, upstream] : shard_state.upstreams) {
+    if (upstream.health_status != HealthStatus::kHealthy ||
+        !MayBeSentTo(upstream, daemon, slot_request, now) ||
+        !HasFreeSlot(upstream, now) || !IsWithinLimit(upstream, now) ||
+        FaultProbability(upstream, now) > kMaxHedgeFaultProbability)
+      continue;
+    const bool is_same_data_centre =
+        running != shard_state.upstreams.end() &&
+        running->second.entry.data_centre == upstream.entry.data_centre;
+    const double cost = PlacementCost(upstream, slot_request, now, rng) +
+                        (is_same_data_centre ? kSameDataCentreHedgeCost : 0);
+    if (!best || cost < best_cost) {
+      best = &upstream;
+      best_cost = cost;
+    }
+  }
+  return {best, false};
+}
+
 double CompletionRate(const ShardState& shard_state) {
   double weighted = 0;
   double samples = 0;
--- a/src/dispatch/placement_func.h
+++ b/src/dispatch/placement_func.h
@@ -38,6 +38,17 @@
                        base::TimePoint now,
                        base::Rng& rng);
 
+// Chooses the upstream for a hedge, if there is one that is healthy, has a free
+// slot and is probably not faulty. The upstreams that were tried before, the
+// last of which has the running attempt, are left out, and other data centres
+// than that of the running attempt are preferred, because a fault may be common
+// to the upstreams of one.
+Placement PlaceHedge(ShardState& shard_state,
+                     const base::DaemonId& daemon,
+                     const SlotRequest& slot_request,
+                     base::TimePoint now,
+                     base::Rng& rng);
+
 // Returns the number of requests per second that the upstreams of the shard can
 // complete, without the suspended ones.
 double CompletionRate(const ShardState& shard_state);
--- a/src/dispatch/running_attempt_func.cc
+++ b/src/dispatch/running_attempt_func.cc
@@ -5,6 +5,8 @@
 
 #include "base/time_func.h"
 #include "dispatch/coverage_func.h"
+#include "dispatch/fault_estimate_func.h"
+#include "dispatch/hedge_moment_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/placement_func.h"
 #include "dispatch/rate_limit_func.h"
@@ -61,6 +63,28 @@
   return std::max(stall_time, kMinStallTime);
 }
 
+// Returns the age of an attempt from which on a hedge may be requested, or zero
+// if none may.
+base::Duration HedgeAfter(const Settings& settings,
+                          const ShardState& shard_state,
+                          const UpstreamState& upstream,
+                          const SlotRequest& slot_request,
+                          base::Duration waited,
+                          base::Duration retry_after,
+                          base::TimePoint now) {
+  const WorkClass& work_class = slot_request.work_class;
+  if (settings.hedge_share <= 0 || !work_class.repeatable ||
+      slot_request.is_retry)
+    return base::Duration(0);
+  const auto stats = shard_state.duration_stats.find(work_class);
+  if (stats == shard_state.duration_stats.end())
+    return retry_after;
+  return ComputeHedgeMoment(
+      stats->second.histogram,
+      {FaultProbability(upstream, now), settings.hedge_share,
+       slot_request.until_deadline - waited, retry_after});
+}
+
 std::vector<OpenAttempt>::iterator FindOpenAttempt(UpstreamState& upstream,
                                                    base::TimePoint granted_at) {
   return std::find_if(upstream.open_attempts.begin(),
@@ -92,11 +116,14 @@
   attempt.incarnation = upstream.entry.incarnation;
   attempt.shard = RequestedShard(slot_request);
   attempt.work_class = slot_request.work_class;
-  attempt.must_succeed = MustSucceed(slot_request);
+  attempt.must_succeed = MustSucceed(slot_request) && !slot_request.is_hedge;
   attempt.fingerprints = slot_request.fingerprints;
   attempt.granted_at = now;
   attempt.retry_at =
       now + StallTime(shard_state, upstream, slot_request, kRetryFactor, now);
+  attempt.hedge_after =
+      HedgeAfter(dispatcher.settings, shard_state, upstream, slot_request,
+                 waited, attempt.retry_at - now, now);
   attempt.stalls_at = std::max(
       now + StallTime(shard_state, upstream, slot_request, kStallFactor, now),
       attempt.retry_at + kStillRunningMargin);
--- a/src/dispatch/settings_type.h
+++ b/src/dispatch/settings_type.h
@@ -9,6 +9,8 @@
   // Retries in one time window that are allowed in addition to the ratio. The
   // limit holds for windows of any length.
   double retry_allowance = 50;
+  // Hedges per first attempt, summed over all daemons; 0 turns them off.
+  double hedge_share = 0;
   // Share of the healthy upstreams that must receive requests. Suspended
   // upstreams are used again when fewer than 1 - `floor_share` of the ready
   // upstreams are not suspended, see IsBelowFloor().
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -28,6 +28,8 @@
   base::TimePoint granted_at{};
   // From this time on, a repeatable request is retried at another upstream.
   base::TimePoint retry_at{};
+  // Age from which on a hedge may be requested; zero if none may.
+  base::Duration hedge_after{};
   // From this time on, the attempt counts as stalled.
   base::TimePoint stalls_at{};
   // The attempt is removed after this time in case its report was lost.
--- a/src/gateway/response_func.cc
+++ b/src/gateway/response_func.cc
@@ -87,6 +87,8 @@
       return "expired_while_waiting";
     case dispatch::RefusalReason::kOverAllowance:
       return "over_allowance";
+    case dispatch::RefusalReason::kHedgeBudget:
+      return "hedge_budget_spent";
   }
   return "unknown";
 }
--- a/src/gateway/settings_driver.cc
+++ b/src/gateway/settings_driver.cc
@@ -30,6 +30,7 @@
   dispatch_settings.retry_ratio = gateway.settings.retry_ratio;
   dispatch_settings.retry_allowance =
       static_cast<double>(gateway.settings.retry_allowance);
+  dispatch_settings.hedge_share = gateway.settings.hedge_share;
   dispatch_settings.floor_share = gateway.settings.floor_share;
 }
 
@@ -60,6 +61,7 @@
   gateway.settings.address_ttl_limit = reloaded.address_ttl_limit;
   gateway.settings.retry_ratio = reloaded.retry_ratio;
   gateway.settings.retry_allowance = reloaded.retry_allowance;
+  gateway.settings.hedge_share = reloaded.hedge_share;
   gateway.settings.floor_share = reloaded.floor_share;
   gateway.settings.seeds = reloaded.seeds;
   gateway.settings.store_address = reloaded.store_address;
--- a/src/gateway/settings_table.cc
+++ b/src/gateway/settings_table.cc
@@ -23,6 +23,7 @@
 
 constexpr std::array kDecimalEntries = {
     Decimal{"retry_ratio", 0, 1, 0.2, &Settings::retry_ratio},
+    Decimal{"hedge_share", 0, 1, 0, &Settings::hedge_share},
     Decimal{"floor_share", 0, 1, 0.7, &Settings::floor_share},
     Decimal{"cpu_share", 0.001, 1024, 1, &Settings::cpu_share},
     Decimal{"cpu_speed", 0.001, 1024, 1, &Settings::cpu_speed},
--- a/src/gateway/settings_type.h
+++ b/src/gateway/settings_type.h
@@ -42,6 +42,8 @@
   double retry_ratio = 0;
   // Retries that are allowed in addition to the ratio.
   std::int64_t retry_allowance = 0;
+  // Hedges per first attempt, over all gateways; 0 turns them off.
+  double hedge_share = 0;
   // Share of the healthy upstreams that must get requests.
   double floor_share = 0;
   // Resources of the VM that this process may use: the share of a processor
--- a/src/request/result_func.cc
+++ b/src/request/result_func.cc
@@ -50,6 +50,7 @@
 Failure ToFailure(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kOverload:
+    case RefusalReason::kHedgeBudget:
       return Failure::kOverload;
     case RefusalReason::kRetryBudget:
       return Failure::kShedByUpstreams;
