Reserve most of the retry budget from hedges

Cause: hedges took the retries of requests whose only attempt hangs. In the hedge model (10 seeds, 40% of the upstreams hanging, hedge share 0.2) 0.47% of the requests got no response, without hedges 0.18%.

Change: a hedge takes a retry token only while more than 60% of a full budget is left. Retries and orders draw as before.

Ruled out: hedging only while a fifth of the slots is free, which changed nothing measurable in the model.

--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -42,6 +42,12 @@
 // request.
 constexpr double kReservedRetryShare = 0.25;
 
+// Share of a full retry budget that hedges leave. A hedge makes a response
+// earlier, while a request without a retry may get none: with the share above
+// for hedges too, two in five upstreams hanging and a hedge share of 0.2,
+// 0.47% of the model's requests got none instead of 0.18% without hedges.
+constexpr double kReservedFromHedgesShare = 0.6;
+
 // Time constant of the smoothed request rate from which the retry budget is
 // refilled.
 constexpr double kRateSmoothingSeconds = 5;
@@ -65,6 +71,13 @@
          shard_state.limit_share;
 }
 
+// Returns the share of a full retry budget that the request must leave.
+double ReservedShare(const SlotRequest& slot_request) {
+  if (!slot_request.work_class.repeatable)
+    return 0;
+  return slot_request.is_hedge ? kReservedFromHedgesShare : kReservedRetryShare;
+}
+
 void RefillRetryBudget(const Settings& settings,
                        ShardState& shard_state,
                        base::TimePoint now) {
@@ -149,13 +162,11 @@
 
 bool TryTakeRetryToken(const Settings& settings,
                        ShardState& shard_state,
-                       const WorkClass& work_class,
+                       const SlotRequest& slot_request,
                        base::TimePoint now) {
   RefillRetryBudget(settings, shard_state, now);
   const double reserved =
-      work_class.repeatable
-          ? kReservedRetryShare * RetryBudgetLimit(settings, shard_state)
-          : 0;
+      ReservedShare(slot_request) * RetryBudgetLimit(settings, shard_state);
   if (shard_state.retry_budget.tokens < 1 + reserved)
     return false;
   shard_state.retry_budget.tokens -= 1;
--- a/src/dispatch/admission_func.h
+++ b/src/dispatch/admission_func.h
@@ -34,10 +34,12 @@
 
 // Takes one retry from the retry budget and returns whether there was one. The
 // load pattern that this handles is many upstreams that shed or fail requests
-// at the same time, when retrying every request would double the load.
+// at the same time, when retrying every request would double the load. Part of
+// the budget is reserved for non-repeatable requests, and a larger part for all
+// retries that are not hedges.
 bool TryTakeRetryToken(const Settings& settings,
                        ShardState& shard_state,
-                       const WorkClass& work_class,
+                       const SlotRequest& slot_request,
                        base::TimePoint now);
 
 // Counts a granted request that is not a retry. The retry budget grows with the
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -238,8 +238,7 @@
     return actions;
   }
   if (slot_request.is_retry &&
-      !TryTakeRetryToken(dispatcher.settings, shard_state,
-                         slot_request.work_class, now)) {
+      !TryTakeRetryToken(dispatcher.settings, shard_state, slot_request, now)) {
     CountUnserved(shard_state.loss_stats,
                   UnservedWeight(MustSucceed(slot_request)), now);
     actions.push_back(
--- a/src/dispatch/hedge_func.cc
+++ b/src/dispatch/hedge_func.cc
@@ -52,7 +52,7 @@
       PlaceHedge(shard_state, daemon, slot_request, now, rng);
   if (!placement.upstream)
     return Refuse(RefusalReason::kNoUpstream);
-  if (!TryTakeRetryToken(settings, shard_state, slot_request.work_class, now))
+  if (!TryTakeRetryToken(settings, shard_state, slot_request, now))
     return Refuse(RefusalReason::kRetryBudget);
   shard_state.hedge_budget.tokens -= 1;
   return {placement, std::nullopt};
--- a/tests/dispatch/hedge_test.cc
+++ b/tests/dispatch/hedge_test.cc
@@ -183,6 +183,38 @@
   BOOST_TEST(fixture.Budget().tokens == 2);
 }
 
+// Guards against hedges that use up the retries of requests which would get no
+// response without them.
+BOOST_AUTO_TEST_CASE(HedgesLeaveRetries) {
+  HedgeFixture fixture;
+  fixture.Budget().tokens = 2;
+  fixture.dispatcher.settings.retry_ratio = 0;
+  // The budget is full with 25.
+  fixture.dispatcher.shards.at({kService}).retry_budget.tokens = 12;
+  BOOST_TEST(!fixture.RequestSlot("d", fixture.MakeHedge("u0")));
+  BOOST_REQUIRE(fixture.FindRefusal());
+  BOOST_TEST((fixture.FindRefusal()->reason == RefusalReason::kRetryBudget));
+  SlotRequest retry = fixture.MakeHedge("u0");
+  retry.is_hedge = false;
+  BOOST_TEST(fixture.RequestSlot("d", retry));
+
+  double unserved_with = 0;
+  double unserved_without = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    HedgeModelOptions options;
+    options.hanging_share = 0.4;
+    options.hedge_share = 0.2;
+    HedgeModel with(options, seed);
+    with.Run(seconds(30));
+    options.hedge_share = 0;
+    HedgeModel without(options, seed);
+    without.Run(seconds(30));
+    unserved_with += with.unserved;
+    unserved_without += without.unserved;
+  }
+  BOOST_TEST(unserved_with <= unserved_without);
+}
+
 // Guards against a credit that grows while nothing hangs, and is then used up
 // at once.
 BOOST_AUTO_TEST_CASE(TheCreditIsBounded) {
