Let a request run two attempts and deliver the first valid response

Cause: the first attempt was always cancelled when a slot at another upstream was granted, so a hedge was not possible.

Change: a request keeps its attempts in a list, and the gateway their exchanges in a map keyed by attempt. When a hedge is granted, both run. The first valid response ends both, the other attempt is cancelled and reported with its age. A failure while another attempt runs ends nothing; a refused hedge leaves the retry at its time. Requests that are not repeatable never ask for a hedge. request_func.cc is split: slot requests, attempts, and second attempts have files of their own. `placed` and `answered` tell of hedges, and there are counters of hedges asked, granted, refused, won and lost.

Ruled out: keeping the second attempt apart from the first one, which would have doubled the handling of deadlines, disconnects and possible runs.

--- a/src/gateway/active_request_type.h
+++ b/src/gateway/active_request_type.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,10 +23,9 @@
   std::string route_name;
   std::string service_name;
   std::uint64_t configuration_version = 0;
-  std::shared_ptr<upstream::Exchange> exchange;
-  // Attempt that `exchange` belongs to. Responses of earlier attempts are
+  // Exchanges of the attempts in progress. Responses of other attempts are
   // ignored.
-  dispatch::AttemptId exchange_attempt_id;
+  std::map<dispatch::AttemptId, std::shared_ptr<upstream::Exchange>> exchanges;
   // Complete response of an upstream that may be delivered to the caller.
   std::optional<upstream::BufferedResponse> response;
   // Complete response with which an upstream reported a failure. It is
--- a/src/gateway/attempt_driver.cc
+++ b/src/gateway/attempt_driver.cc
@@ -68,16 +68,17 @@
 }
 
 // Sets the number of connections that this daemon may have open to the upstream
-// of the current attempt.
-void LimitConnections(Gateway& gateway, const ActiveRequest& active_request) {
+// of an attempt.
+void LimitConnections(Gateway& gateway,
+                      const ActiveRequest& active_request,
+                      const std::string& address) {
   const auto& services = gateway.configuration->services;
   const auto found = services.find({active_request.service_name});
-  if (found == services.end() || !active_request.state.attempt)
+  if (found == services.end())
     return;
   const auto daemon_count = static_cast<std::uint32_t>(
       std::max<std::size_t>(gateway.view.members.size(), 1));
-  gateway.upstream_pool.address_pools[active_request.state.attempt->address]
-      .max_open_connections = std::max(
+  gateway.upstream_pool.address_pools[address].max_open_connections = std::max(
       found->second.max_connections / daemon_count, kMinConnectionsPerUpstream);
 }
 
@@ -141,7 +142,7 @@
                 ActiveRequest& active_request,
                 const request::StartAttempt& start,
                 std::function<void(const AttemptEnd&)> on_end) {
-  LimitConnections(gateway, active_request);
+  LimitConnections(gateway, active_request, start.attempt.address);
   const bool repeatable = active_request.state.arrival.work_class.repeatable;
   upstream::CallOptions options;
   options.address = start.attempt.address;
@@ -156,21 +157,20 @@
       platform::MakeUpstreamRequest(active_request.http_request,
                                     start.time_left, start.attempt.upstream));
   const base::TimePoint started_at = clock::Now();
-  active_request.exchange_attempt_id = start.attempt.id;
-  active_request.exchange = upstream::StartCall(
+  active_request.exchanges[start.attempt.id] = upstream::StartCall(
       gateway.loop, gateway.upstream_pool, options, std::move(request),
       [&gateway, request_number = active_request.state.arrival.number,
        attempt = start.attempt, repeatable, started_at,
        on_end = std::move(on_end)](BufferedResponse response) {
         const auto found = gateway.requests.find(request_number);
         if (found == gateway.requests.end() ||
-            found->second->exchange_attempt_id != attempt.id)
+            found->second->exchanges.erase(attempt.id) == 0)
           return;
         ActiveRequest& found_request = *found->second;
-        found_request.exchange.reset();
         const platform::ResponseFields fields = platform::ParseResponseFields(
             response.header, found_request.request_id);
         AttemptEnd end;
+        end.attempt_id = attempt.id;
         end.result = ClassifyAttempt(response, fields, repeatable);
         end.duration = clock::Now() - started_at;
         if (IsFromUpstream(end.result)) {
@@ -194,11 +194,11 @@
       });
 }
 
-void CancelRunningAttempt(ActiveRequest& active_request) {
-  active_request.exchange_attempt_id = {};
-  if (active_request.exchange)
-    active_request.exchange->Cancel();
-  active_request.exchange.reset();
+void CancelRunningAttempt(ActiveRequest& active_request,
+                          dispatch::AttemptId attempt) {
+  const auto exchange = active_request.exchanges.extract(attempt);
+  if (exchange)
+    exchange.mapped()->Cancel();
 }
 
 }  // namespace poplarfork::gateway
--- a/src/gateway/attempt_driver.h
+++ b/src/gateway/attempt_driver.h
@@ -17,8 +17,9 @@
                 const request::StartAttempt& start,
                 std::function<void(const request::AttemptEnd&)> on_end);
 
-// Cancels the attempt in progress and closes its connection, so that the
+// Cancels an attempt in progress and closes its connection, so that the
 // upstream stops working on the request.
-void CancelRunningAttempt(ActiveRequest& active_request);
+void CancelRunningAttempt(ActiveRequest& active_request,
+                          dispatch::AttemptId attempt);
 
 }  // namespace poplarfork::gateway
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -13,6 +13,7 @@
 #include "fleet/view_func.h"
 #include "gateway/attempt_driver.h"
 #include "gateway/dispatch_driver.h"
+#include "gateway/hedge_metrics.h"
 #include "gateway/log_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/response_func.h"
@@ -21,6 +22,7 @@
 #include "platform/request_func.h"
 #include "request/fingerprint_func.h"
 #include "request/request_func.h"
+#include "request/slot_request_func.h"
 
 namespace poplarfork::gateway {
 
@@ -137,12 +139,14 @@
        {"asks", active_request.state.slot_requests},
        {"sends", active_request.state.sends},
        {"unreachable", active_request.state.failed_connections},
+       {"hedge", HedgeName(active_request.state.hedge_counts)},
        {"dispatcher", active_request.state.asked_dispatcher.value},
        {"configuration", active_request.configuration_version}});
   metrics::IncrementCounter(gateway.metrics, "requests_total{service=\"" +
                                                  active_request.service_name +
                                                  "\",outcome=\"" + outcome +
                                                  "\"}");
+  CountHedges(gateway, active_request.state.hedge_counts);
   metrics::Observe(
       gateway.metrics,
       "request_duration{service=\"" + active_request.service_name + "\"}",
@@ -198,6 +202,7 @@
        {"upstream", action.attempt.upstream.value},
        {"dispatcher", action.attempt.dispatcher.value},
        {"send", active_request.state.sends},
+       {"hedge", action.attempt.is_hedge},
        {"since_arrival_ms",
         ToMilliseconds(clock::Now() - active_request.state.arrived_at)},
        {"waited_ms", ToMilliseconds(action.attempt.waited)},
@@ -218,8 +223,8 @@
 
 void ExecuteAction(Gateway&,
                    ActiveRequest& active_request,
-                   const request::CancelAttempt&) {
-  CancelRunningAttempt(active_request);
+                   const request::CancelAttempt& action) {
+  CancelRunningAttempt(active_request, action.attempt_id);
 }
 
 void ExecuteAction(Gateway& gateway,
@@ -459,6 +464,8 @@
        {"service", active_request->service_name},
        {"fingerprint",
         active_request->state.arrival.fingerprints.content.value}});
+  if (request::IsOpenHedge(active_request->state, refusal.attempt_id))
+    CountRefusedHedge(gateway, refusal.reason);
   const RequestNumber number = active_request->state.arrival.number;
   ExecuteActions(
       gateway, number,
--- a/src/request/action_type.h
+++ b/src/request/action_type.h
@@ -46,7 +46,9 @@
   base::Duration time_left{};
 };
 
-struct CancelAttempt {};
+struct CancelAttempt {
+  dispatch::AttemptId attempt_id;
+};
 
 struct SendAttemptReport {
   base::DaemonId to;
--- a/src/request/attempt_end_type.h
+++ b/src/request/attempt_end_type.h
@@ -31,6 +31,7 @@
 };
 
 struct AttemptEnd {
+  dispatch::AttemptId attempt_id;
   AttemptResult result = AttemptResult::kNotConnected;
   base::Duration duration{};
   dispatch::UpstreamNotice notice;
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -1,97 +1,29 @@
 #include "request/request_func.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "fleet/shard_func.h"
+#include "request/attempt_func.h"
 #include "request/result_func.h"
+#include "request/second_attempt_func.h"
+#include "request/slot_request_func.h"
 
 namespace poplarfork::request {
 
 namespace {
 
-using dispatch::Outcome;
 using dispatch::RefusalReason;
 
-// A dispatcher in the same region replies within a few milliseconds. The slot
-// request is repeated after this time because datagrams may be lost.
-constexpr base::Duration kSlotRequestTimeout = std::chrono::milliseconds(45);
-// While a request is queued, the slot request is repeated at this interval to
-// detect whether the dispatcher is still alive.
-constexpr base::Duration kQueuedRepeatInterval = std::chrono::milliseconds(300);
-// Number of slot requests without a reply after which another daemon is asked.
-constexpr std::uint32_t kMaxUnansweredSlotRequests = 3;
-// Number of failed connections after which a request fails. Nothing has been
-// sent on them, so they do not count as retries.
-constexpr std::uint32_t kMaxFailedConnections = 8;
 // Number of returned grants after which a request gives up. The dispatcher
 // learns from each why it was returned, so there is seldom a second one.
 constexpr std::uint32_t kMaxReturnedGrants = 8;
 // Number of dispatchers without a list of upstreams that are skipped.
 constexpr std::uint32_t kMaxNotReadyDispatchers = 3;
-// A retry is not worth its slot unless at least this much time is left.
-constexpr base::Duration kMinRetryTime = std::chrono::milliseconds(60);
 // Number of further shards that are tried when the first one has no free slot.
 // A second choice evens out most of the difference between the shards' loads.
 constexpr std::uint32_t kMaxFullShards = 1;
 constexpr base::Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 
-base::Duration TimeLeft(base::TimePoint until, base::TimePoint now) {
-  return std::max(until - now, base::Duration(0));
-}
-
-std::uint32_t ShardCount(const Request& request) {
-  return static_cast<std::uint32_t>(request.arrival.shard_slots.size());
-}
-
-dispatch::SlotRequest MakeSlotRequest(const Request& request,
-                                      const Context& context,
-                                      base::TimePoint now) {
-  dispatch::SlotRequest slot_request;
-  slot_request.attempt_id = request.slot_request_id;
-  slot_request.shard_index = request.shard_index;
-  slot_request.shard_count = ShardCount(request);
-  slot_request.work_class = request.arrival.work_class;
-  slot_request.account = request.arrival.account;
-  slot_request.priority = request.arrival.priority;
-  slot_request.until_late = TimeLeft(request.arrival.late_at, now);
-  slot_request.until_deadline = TimeLeft(request.arrival.deadline, now);
-  slot_request.is_retry = request.slot_request_is_retry;
-  slot_request.was_granted = !request.avoid.empty();
-  slot_request.fingerprints = request.arrival.fingerprints;
-  slot_request.data_centre = context.data_centre;
-  slot_request.avoid = request.avoid;
-  return slot_request;
-}
-
-void RepeatSlotRequest(Request& request,
-                       const Context& context,
-                       base::TimePoint now,
-                       Actions& actions) {
-  request.slot_request_repeat_at = now + kSlotRequestTimeout;
-  actions.push_back(SendSlotRequest{request.asked_dispatcher,
-                                    MakeSlotRequest(request, context, now)});
-}
-
-void StartSlotRequest(Request& request,
-                      bool is_retry,
-                      const base::DaemonId* silent_dispatcher,
-                      const Context& context,
-                      base::TimePoint now,
-                      Actions& actions) {
-  request.phase = request.attempt ? Phase::kRunningAndRequestingSlot
-                                  : Phase::kRequestingSlot;
-  request.slot_request_id = context.make_attempt_id();
-  request.asked_dispatcher =
-      context.find_dispatcher({request.arrival.work_class.service,
-                               request.shard_index, ShardCount(request)},
-                              silent_dispatcher);
-  request.slot_request_is_retry = is_retry;
-  request.unanswered_slot_requests = 0;
-  ++request.slot_requests;
-  RepeatSlotRequest(request, context, now, actions);
-}
-
 void FailRequest(Request& request,
                  Failure failure,
                  base::Duration retry_after,
@@ -105,54 +37,20 @@
       RespondWithFailure{failure, request.possible_runs == 0, retry_after});
 }
 
-// Tells whether the request may be sent once more after an attempt with this
-// result.
-bool MayRetry(const Request& request,
-              AttemptResult result,
-              base::TimePoint now) {
-  if (request.arrival.deadline - now < kMinRetryTime)
-    return false;
-  if (IsNotSent(result))
-    return request.failed_connections < kMaxFailedConnections;
-  if (request.sends >= request.arrival.max_attempts)
-    return false;
-  if (result == AttemptResult::kNotRun || result == AttemptResult::kMisdirected)
-    return true;
-  return request.arrival.work_class.repeatable;
-}
-
-void EndAttempt(Request& request,
-                Outcome outcome,
-                const AttemptEnd* end,
-                base::TimePoint now,
-                Actions& actions) {
-  const Attempt& attempt = *request.attempt;
-  dispatch::AttemptReport report;
-  report.attempt_id = attempt.id;
-  report.upstream = attempt.upstream;
-  report.outcome = outcome;
-  report.duration = end ? end->duration : now - attempt.started_at;
-  if (end) {
-    report.has_reported_load = end->has_reported_load;
-    report.reported_load = end->reported_load;
-    report.notice = end->notice;
+// Sends the request again after its last attempt has ended with `result`, or
+// ends it.
+void RetryOrFail(Request& request,
+                 AttemptResult result,
+                 const Context& context,
+                 base::TimePoint now,
+                 Actions& actions) {
+  if (MayRetry(request, result, now)) {
+    const SlotPurpose purpose =
+        IsNotSent(result) ? SlotPurpose::kFirst : SlotPurpose::kRetry;
+    StartSlotRequest(request, purpose, nullptr, context, now, actions);
+    return;
   }
-  actions.push_back(SendAttemptReport{attempt.dispatcher, report});
-  if (outcome != Outcome::kServed)
-    request.avoid.push_back(attempt.upstream);
-  request.possible_runs += MayHaveRun(outcome) ? 1 : 0;
-  request.attempt.reset();
-}
-
-void WithdrawSlotRequest(const Request& request, Actions& actions) {
-  actions.push_back(SendWithdrawal{
-      request.asked_dispatcher, dispatch::Withdrawal{request.slot_request_id}});
-}
-
-bool HasOpenSlotRequest(const Request& request) {
-  return request.phase == Phase::kRequestingSlot ||
-         request.phase == Phase::kQueued ||
-         request.phase == Phase::kRunningAndRequestingSlot;
+  FailRequest(request, ToFailure(result), kDefaultRetryAfter, actions);
 }
 
 // Tells whether the grant is the reply to the open slot request.
@@ -179,9 +77,8 @@
 void OnDeadline(Request& request, base::TimePoint now, Actions& actions) {
   if (HasOpenSlotRequest(request))
     WithdrawSlotRequest(request, actions);
-  if (request.attempt) {
-    actions.push_back(CancelAttempt{});
-    EndAttempt(request, Outcome::kStalled, nullptr, now, actions);
+  if (!request.attempts.empty()) {
+    CancelAttempts(request, CancelCause::kStalled, now, actions);
     FailRequest(request, Failure::kTimeout, base::Duration(0), actions);
     return;
   }
@@ -190,45 +87,20 @@
               kDefaultRetryAfter, actions);
 }
 
-// Tells the dispatcher that the current attempt takes long, and requests a slot
-// at another upstream. A non-repeatable request continues to wait for its
-// response.
-void OnStall(Request& request,
-             const Context& context,
-             base::TimePoint now,
-             Actions& actions) {
-  request.stall_handled = true;
-  dispatch::AttemptReport report;
-  report.attempt_id = request.attempt->id;
-  report.upstream = request.attempt->upstream;
-  report.outcome = Outcome::kStillRunning;
-  report.duration = now - request.attempt->started_at;
-  actions.push_back(SendAttemptReport{request.attempt->dispatcher, report});
-  const bool has_time_left = request.arrival.deadline - now >= kMinRetryTime;
-  if (!request.arrival.work_class.repeatable || !has_time_left ||
-      request.sends >= request.arrival.max_attempts)
-    return;
-  request.avoid.push_back(request.attempt->upstream);
-  StartSlotRequest(request, true, nullptr, context, now, actions);
-}
-
-void OnSlotRequestTimeout(Request& request,
-                          const Context& context,
-                          base::TimePoint now,
-                          Actions& actions) {
-  ++request.unanswered_slot_requests;
-  if (request.unanswered_slot_requests < kMaxUnansweredSlotRequests) {
-    RepeatSlotRequest(request, context, now, actions);
+// Handles the refusal of a slot for a hedge, which never ends a request by
+// itself.
+void OnHedgeNotGranted(Request& request,
+                       const Context& context,
+                       base::TimePoint now,
+                       Actions& actions) {
+  if (!request.attempts.empty()) {
+    request.phase = Phase::kRunning;
+    RequestSecondAttempt(request, context, now, actions);
     return;
   }
-  actions.push_back(SuspectDispatcher{request.asked_dispatcher});
-  // The dispatcher that does not reply may still have granted the attempt. A
-  // new attempt id keeps its late reply from being taken for the reply of the
-  // next dispatcher.
-  WithdrawSlotRequest(request, actions);
-  const base::DaemonId silent_dispatcher = request.asked_dispatcher;
-  StartSlotRequest(request, request.slot_request_is_retry, &silent_dispatcher,
-                   context, now, actions);
+  // The first attempt has failed while the hedge was requested.
+  RetryOrFail(request, request.last_result.value_or(AttemptResult::kNotRun),
+              context, now, actions);
 }
 
 }  // namespace
@@ -242,7 +114,8 @@
   request.arrived_at = now;
   request.shard_index = fleet::ChooseShard(
       arrival.shard_slots, arrival.fingerprints.family.value, nullptr);
-  StartSlotRequest(request, false, nullptr, context, now, actions);
+  StartSlotRequest(request, SlotPurpose::kFirst, nullptr, context, now,
+                   actions);
   return actions;
 }
 
@@ -255,9 +128,7 @@
     // This reply belongs to a slot request that has already been settled. If
     // the grant is in use, it is the same grant again; otherwise it is reported
     // as unused, so that its slot is freed.
-    const bool in_use =
-        request.attempt && request.attempt->id == grant.attempt_id;
-    if (!in_use)
+    if (!FindAttempt(request, grant.attempt_id))
       ReportUnused(from, grant, actions);
     return actions;
   }
@@ -268,24 +139,11 @@
     OnDeadline(request, now, actions);
     return actions;
   }
-  if (request.attempt) {
-    actions.push_back(CancelAttempt{});
-    EndAttempt(request, Outcome::kStalled, nullptr, now, actions);
-  }
+  if (!request.slot_request_is_hedge)
+    CancelAttempts(request, CancelCause::kStalled, now, actions);
   request.phase = Phase::kRunning;
   request.stall_handled = false;
-  Attempt attempt;
-  attempt.id = grant.attempt_id;
-  attempt.dispatcher = from;
-  attempt.upstream = grant.upstream;
-  attempt.address = grant.address;
-  attempt.started_at = now;
-  attempt.waited = grant.waited;
-  attempt.retry_at = now + grant.retry_after;
-  request.attempt = attempt;
-  ++request.sends;
-  actions.push_back(
-      StartAttempt{attempt, TimeLeft(request.arrival.deadline, now)});
+  BeginAttempt(request, from, grant, now, actions);
   return actions;
 }
 
@@ -302,32 +160,23 @@
   dispatch::AttemptReport report = MakeUnusedReport(grant);
   report.notice = notice;
   actions.push_back(SendAttemptReport{from, report});
-  request.avoid.push_back(grant.upstream);
+  AvoidUpstream(request, grant.upstream);
+  if (request.slot_request_is_hedge) {
+    OnHedgeNotGranted(request, context, now, actions);
+    return actions;
+  }
   if (++request.returned_grants <= kMaxReturnedGrants) {
-    StartSlotRequest(request, request.slot_request_is_retry, nullptr, context,
-                     now, actions);
+    StartSlotRequest(request, LatestPurpose(request), nullptr, context, now,
+                     actions);
     return actions;
   }
-  if (request.attempt)
-    request.phase = Phase::kRunning;
-  else
+  if (request.attempts.empty())
     FailRequest(request, Failure::kNoUpstream, kDefaultRetryAfter, actions);
+  else
+    request.phase = Phase::kRunning;
   return actions;
 }
 
-Actions OnQueuedNotice(Request& request,
-                       const dispatch::QueuedNotice& notice,
-                       base::TimePoint now) {
-  if (!HasOpenSlotRequest(request) ||
-      notice.attempt_id != request.slot_request_id)
-    return {};
-  request.unanswered_slot_requests = 0;
-  request.slot_request_repeat_at = now + kQueuedRepeatInterval;
-  if (request.phase == Phase::kRequestingSlot)
-    request.phase = Phase::kQueued;
-  return {};
-}
-
 Actions OnRefusal(Request& request,
                   const dispatch::Refusal& refusal,
                   const Context& context,
@@ -336,8 +185,12 @@
   if (!HasOpenSlotRequest(request) ||
       refusal.attempt_id != request.slot_request_id)
     return actions;
+  if (request.slot_request_is_hedge) {
+    OnHedgeNotGranted(request, context, now, actions);
+    return actions;
+  }
   if (request.phase == Phase::kRunningAndRequestingSlot) {
-    // The current attempt may still succeed.
+    // The attempts in progress may still succeed.
     request.phase = Phase::kRunning;
     return actions;
   }
@@ -347,8 +200,8 @@
     ++request.not_ready_refusals;
     actions.push_back(SuspectDispatcher{request.asked_dispatcher});
     const base::DaemonId not_ready_dispatcher = request.asked_dispatcher;
-    StartSlotRequest(request, request.slot_request_is_retry,
-                     &not_ready_dispatcher, context, now, actions);
+    StartSlotRequest(request, LatestPurpose(request), &not_ready_dispatcher,
+                     context, now, actions);
     return actions;
   }
   if (IsShardFull(refusal.reason) && request.full_shards < kMaxFullShards &&
@@ -358,8 +211,8 @@
     request.shard_index = fleet::ChooseShard(
         request.arrival.shard_slots, request.arrival.fingerprints.family.value,
         &full_shard);
-    StartSlotRequest(request, request.slot_request_is_retry, nullptr, context,
-                     now, actions);
+    StartSlotRequest(request, LatestPurpose(request), nullptr, context, now,
+                     actions);
     return actions;
   }
   FailRequest(request, ToFailure(refusal.reason), refusal.retry_after, actions);
@@ -371,33 +224,29 @@
                      const Context& context,
                      base::TimePoint now) {
   Actions actions;
-  if (!request.attempt)
+  if (!FindAttempt(request, end.attempt_id))
     return actions;
-  const bool had_open_slot_request =
-      request.phase == Phase::kRunningAndRequestingSlot;
-  const bool not_sent = IsNotSent(end.result);
-  EndAttempt(request, ToOutcome(end.result), &end, now, actions);
-  if (not_sent) {
+  FinishAttempt(request, end, actions);
+  if (IsNotSent(end.result)) {
     --request.sends;
     ++request.failed_connections;
   }
   if (end.result == AttemptResult::kCompleted) {
-    if (had_open_slot_request)
+    CancelAttempts(request, CancelCause::kCompleted, now, actions);
+    if (HasOpenSlotRequest(request))
       WithdrawSlotRequest(request, actions);
     request.phase = Phase::kEnded;
     actions.push_back(DeliverResponse{});
     return actions;
   }
   request.has_failure_response |= end.result == AttemptResult::kFailed;
-  if (had_open_slot_request) {
-    request.phase = Phase::kRequestingSlot;
+  if (!request.attempts.empty())
     return actions;
-  }
-  if (MayRetry(request, end.result, now)) {
-    StartSlotRequest(request, !not_sent, nullptr, context, now, actions);
+  if (HasOpenSlotRequest(request)) {
+    request.phase = Phase::kRequestingSlot;
     return actions;
   }
-  FailRequest(request, ToFailure(end.result), kDefaultRetryAfter, actions);
+  RetryOrFail(request, end.result, context, now, actions);
   return actions;
 }
 
@@ -407,15 +256,8 @@
     return actions;
   if (HasOpenSlotRequest(request))
     WithdrawSlotRequest(request, actions);
-  if (request.attempt) {
-    actions.push_back(CancelAttempt{});
-    dispatch::AttemptReport report;
-    report.attempt_id = request.attempt->id;
-    report.upstream = request.attempt->upstream;
-    report.outcome = Outcome::kCancelled;
-    actions.push_back(SendAttemptReport{request.attempt->dispatcher, report});
-    request.attempt.reset();
-  }
+  CancelAttempts(request, CancelCause::kCallerDisconnected, base::TimePoint{},
+                 actions);
   request.phase = Phase::kEnded;
   return actions;
 }
@@ -428,9 +270,8 @@
     OnDeadline(request, now, actions);
     return actions;
   }
-  if (request.attempt && !request.stall_handled &&
-      request.phase == Phase::kRunning && request.attempt->retry_at <= now)
-    OnStall(request, context, now, actions);
+  ReportStalls(request, now, actions);
+  RequestSecondAttempt(request, context, now, actions);
   if (HasOpenSlotRequest(request) && request.slot_request_repeat_at <= now)
     OnSlotRequestTimeout(request, context, now, actions);
   return actions;
@@ -439,9 +280,8 @@
 base::TimePoint NextTimerAt(const Request& request) {
   if (request.phase == Phase::kEnded)
     return base::TimePoint::max();
-  base::TimePoint timer_at = request.arrival.deadline;
-  if (request.attempt && !request.stall_handled)
-    timer_at = std::min(timer_at, request.attempt->retry_at);
+  base::TimePoint timer_at =
+      std::min(request.arrival.deadline, NextAttemptTimerAt(request));
   if (HasOpenSlotRequest(request))
     timer_at = std::min(timer_at, request.slot_request_repeat_at);
   return timer_at;
--- a/src/request/request_func.h
+++ b/src/request/request_func.h
@@ -1,33 +1,21 @@
 #pragma once
 
-#include <functional>
-
 #include "request/action_type.h"
 #include "request/attempt_end_type.h"
+#include "request/context_type.h"
 #include "request/request_type.h"
 
 namespace poplarfork::request {
 
-// The parts of the daemon's state that a request depends on.
-struct Context {
-  base::DataCentreId data_centre;
-  // Returns the daemon that dispatches for a shard of a service.
-  // `silent_dispatcher`, if not null, has just failed to reply and is not
-  // returned.
-  std::function<base::DaemonId(const fleet::Shard&,
-                               const base::DaemonId* silent_dispatcher)>
-      find_dispatcher;
-  // Returns a new attempt id.
-  std::function<dispatch::AttemptId()> make_attempt_id;
-};
-
 // Starts handling a request and sends its first slot request.
 Actions BeginRequest(Request& request,
                      const Arrival& arrival,
                      const Context& context,
                      base::TimePoint now);
 
-// Handles the dispatcher's grant of a slot.
+// Handles the dispatcher's grant of a slot. If it is that of a hedge, the
+// attempt in progress goes on; otherwise the attempts in progress, which all
+// take too long, are cancelled.
 Actions OnGrant(Request& request,
                 const base::DaemonId& from,
                 const dispatch::Grant& grant,
@@ -42,18 +30,14 @@
                         const Context& context,
                         base::TimePoint now);
 
-// Handles the dispatcher's notice that the request is queued.
-Actions OnQueuedNotice(Request& request,
-                       const dispatch::QueuedNotice& notice,
-                       base::TimePoint now);
-
 // Handles the dispatcher's refusal.
 Actions OnRefusal(Request& request,
                   const dispatch::Refusal& refusal,
                   const Context& context,
                   base::TimePoint now);
 
-// Handles the end of an attempt at an upstream.
+// Handles the end of an attempt at an upstream. While another attempt is in
+// progress, a failure ends nothing, and the first valid response ends both.
 Actions OnAttemptEnd(Request& request,
                      const AttemptEnd& end,
                      const Context& context,
@@ -62,8 +46,8 @@
 // Handles the end of the caller's connection.
 Actions OnCallerDisconnected(Request& request);
 
-// Performs what is due: repeats a slot request without a reply, retries a
-// stalled attempt, or ends the request at its deadline.
+// Performs what is due: repeats a slot request without a reply, requests a slot
+// for a hedge or a retry, or ends the request at its deadline.
 Actions OnTimer(Request& request, const Context& context, base::TimePoint now);
 
 // Returns the time at which OnTimer() must be called next.
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -8,6 +8,7 @@
 #include "base/time_type.h"
 #include "dispatch/message_type.h"
 #include "fleet/shard_type.h"
+#include "request/attempt_end_type.h"
 
 namespace poplarfork::request {
 
@@ -19,9 +20,9 @@
   kRequestingSlot,
   // The dispatcher has replied that the request is queued.
   kQueued,
-  // The request has been sent to an upstream.
+  // The request has been sent to one upstream, or to two at the same time.
   kRunning,
-  // The request has been sent to an upstream that takes too long, and a slot at
+  // The request has been sent to an upstream that takes long, and a slot at
   // another one has been requested from the dispatcher.
   kRunningAndRequestingSlot,
   // The request has received its final response.
@@ -61,6 +62,20 @@
   // A repeatable request is retried at another upstream if there is no response
   // by this time.
   base::TimePoint retry_at{};
+  // From this time on, a hedge may be sent; the maximum if none may.
+  base::TimePoint hedge_at = base::TimePoint::max();
+  // The slot was requested as that of a hedge.
+  bool is_hedge = false;
+  // The dispatcher has been told that the attempt takes long.
+  bool stall_reported = false;
+};
+
+// How many hedges of one request were requested, were granted, and delivered
+// its response.
+struct HedgeCounts {
+  std::uint32_t requested = 0;
+  std::uint32_t granted = 0;
+  std::uint32_t won = 0;
 };
 
 // State of one request, from its arrival to its final response.
@@ -74,6 +89,9 @@
   dispatch::AttemptId slot_request_id;
   base::DaemonId asked_dispatcher;
   bool slot_request_is_retry = false;
+  // The slot is requested for a hedge. If it is granted, the attempt that runs
+  // already goes on.
+  bool slot_request_is_hedge = false;
   base::TimePoint slot_request_repeat_at{};
   std::uint32_t unanswered_slot_requests = 0;
   std::uint32_t not_ready_refusals = 0;
@@ -82,7 +100,11 @@
   std::uint32_t shard_index = 0;
   std::uint32_t full_shards = 0;
 
-  std::optional<Attempt> attempt;
+  // Attempts in progress, in the order in which they were started; at most two.
+  std::vector<Attempt> attempts;
+  // Result of the last attempt that has ended.
+  std::optional<AttemptResult> last_result;
+  HedgeCounts hedge_counts;
   std::uint32_t slot_requests = 0;
   // Number of attempts in which the request may have reached an upstream.
   std::uint32_t sends = 0;
@@ -96,8 +118,10 @@
   // An upstream's failure response has been stored. It is delivered if no other
   // attempt is made.
   bool has_failure_response = false;
-  // The stall of the current attempt has been handled.
+  // A retry has been requested, or ruled out, since the last grant.
   bool stall_handled = false;
+  // A hedge has been requested, or ruled out.
+  bool hedge_handled = false;
   std::vector<base::UpstreamId> avoid;
 };
 
