--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -12,6 +12,7 @@
 #include "fleet/traffic_split_func.h"
 #include "gateway/account_driver.h"
 #include "gateway/dispatch_driver.h"
+#include "gateway/hedge_metrics.h"
 #include "gateway/log_func.h"
 #include "gateway/peer_driver.h"
 #include "gateway/rejection_driver.h"
@@ -22,6 +23,7 @@
 #include "platform/request_func.h"
 #include "request/fingerprint_func.h"
 #include "request/request_func.h"
+#include "request/slot_request_func.h"
 #include "request/waiting_func.h"
 
 namespace poplarfork::gateway {
@@ -236,6 +238,8 @@
        {"service", active_request->service_name},
        {"fingerprint",
         active_request->state.arrival.fingerprints.content.value}});
+  if (request::IsOpenHedge(active_request->state, refusal.attempt_id))
+    CountRefusedHedge(gateway, refusal.reason);
   const RequestNumber number = active_request->state.arrival.number;
   ExecuteRequestActions(
       gateway, number,
--- a/src/request/waiting_func.cc
+++ b/src/request/waiting_func.cc
@@ -5,7 +5,8 @@
 bool IsWaiting(const Request& request) {
   const bool has_open_slot_request = request.phase == Phase::kRequestingSlot ||
                                      request.phase == Phase::kQueued;
-  return has_open_slot_request && !request.attempt && request.sends == 0;
+  return has_open_slot_request && request.attempts.empty() &&
+         request.sends == 0;
 }
 
 Actions EndWaiting(Request& request, Failure failure) {
