Smooth the durations from which the moment of a hedge is read

Cause: where durations hardly vary, every attempt that took a little longer than all before seemed to hang.

Change: each bin of the histogram is counted with two neighbours at each side, a spread of a fifth.

Ruled out: a longest age in mean durations before which nothing is hedged, which would delay hedges at upstreams that are probably faulty.

--- a/src/dispatch/hedge_moment_func.cc
+++ b/src/dispatch/hedge_moment_func.cc
@@ -1,6 +1,7 @@
 #include "dispatch/hedge_moment_func.h"
 
 #include <algorithm>
+#include <array>
 
 #include "dispatch/fault_estimate_func.h"
 
@@ -21,6 +22,23 @@
 // Earlier the loss of a datagram would not be noticed either.
 constexpr base::Duration kMinMoment = std::chrono::milliseconds(10);
 
+// Weights with which a bin and its neighbours at each side are counted as one.
+// Without that, each attempt that takes a little longer than all before would
+// seem to hang where durations hardly vary: a busy machine is enough for it.
+constexpr std::array kSmoothing = {0.4, 0.2, 0.1};
+
+// Returns the weight of the bin after smoothing.
+double SmoothedWeight(const DurationHistogram& histogram, int index) {
+  double weight = kSmoothing[0] * histogram.bins.at(index);
+  for (int offset = 1; offset < static_cast<int>(kSmoothing.size()); ++offset) {
+    if (index - offset >= -1)
+      weight += kSmoothing[offset] * histogram.bins.at(index - offset);
+    if (index + offset <= kDurationBinCount)
+      weight += kSmoothing[offset] * histogram.bins.at(index + offset);
+  }
+  return weight;
+}
+
 // Returns the mean duration of the bin in microseconds.
 double BinMean(const DurationHistogram& histogram, int index) {
   if (index < 0)
@@ -38,7 +56,7 @@
 };
 
 void AddBin(Tail& tail, const DurationHistogram& histogram, int index) {
-  const double weight = histogram.bins.at(index);
+  const double weight = SmoothedWeight(histogram, index);
   tail.weight += weight;
   tail.sum_us += weight * BinMean(histogram, index);
 }
