Refuse invalid status lines of upstreams

Beast's parser accepts any three digits as a status, so responses with the status 000, 001, 020, 099, 600, 700 or 999 reached callers, and a 101 that nobody had asked for was skipped like an informational response.

An exchange now accepts only a final status from 200 to 599. A 101, more than 16 informational responses and everything that the parser refuses end it as malformed. Such an attempt counts as an invalid response that may have run: orders are not sent again and their callers get 502. It was a broken connection before, which is evidence for a crash of the upstream; a malformed response is none. It is counted in malformed_responses_total and logged with the upstream and the refused status. A connection that ends within the header stays a broken connection.

Ruled out: a check in the gateway after the response is complete, because health probes and calls to the store use the same parser; a fuzz target of the parser alone, because the limits and the statuses are checked in the exchange.

--- a/src/gateway/attempt_driver.cc
+++ b/src/gateway/attempt_driver.cc
@@ -47,8 +47,9 @@
                ? AttemptResult::kConnectionRefused
                : AttemptResult::kNotConnected;
   if (!response.IsComplete())
-    return response.is_too_large ? AttemptResult::kInvalidResponse
-                                 : AttemptResult::kConnectionBroken;
+    return response.is_too_large || response.end.is_malformed
+               ? AttemptResult::kInvalidResponse
+               : AttemptResult::kConnectionBroken;
   if (!fields.echoes_request_id || fields.has_content_encoding)
     return AttemptResult::kInvalidResponse;
   if (status == platform::kMisdirectedRequestStatus)
@@ -124,7 +125,8 @@
        {"upstream", attempt.upstream.value},
        {"address", attempt.address},
        {"result", AttemptResultName(end.result)},
-       {"status", response.IsComplete() ? response.header.result_int() : 0},
+       {"status", response.IsComplete() ? response.header.result_int()
+                                        : response.end.rejected_status},
        {"error", response.end.error.message()},
        {"reused_connection", response.end.is_connection_reused},
        {"duration_ms", ToMilliseconds(end.duration)},
@@ -188,6 +190,9 @@
         metrics::IncrementCounter(gateway.metrics,
                                   std::string("attempts_total{result=\"") +
                                       AttemptResultName(end.result) + "\"}");
+        if (response.end.is_malformed)
+          metrics::IncrementCounter(gateway.metrics,
+                                    "malformed_responses_total");
         if (end.result == AttemptResult::kCompleted)
           found_request.response = std::move(response);
         else if (end.result == AttemptResult::kFailed)
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -48,6 +48,15 @@
             [connection](bool) { CloseConnection(connection); });
 }
 
+void SendStatusLine(const PlatformUpstream& upstream,
+                    const HttpConnectionPtr& connection,
+                    const std::string& request_id) {
+  SendBytes(connection,
+            upstream.status_line + "\r\nAttempt-Id: " + request_id +
+                "\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+            [connection](bool) { CloseConnection(connection); });
+}
+
 void RespondToRun(const PlatformUpstream& upstream,
                   const HttpConnectionPtr& connection,
                   const std::string& request_id) {
@@ -79,6 +88,9 @@
                     "extra",
                 [connection](bool) { FinishResponse(connection); });
       return;
+    case Fault::kStatusLine:
+      SendStatusLine(upstream, connection, request_id);
+      return;
     case Fault::kRepeatedRefusal:
       SendResponse(connection,
                    MakeRefusal(upstream, upstream.refused_request_id));
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -40,6 +40,8 @@
   kUnavailableWithoutPromise,
   // Sends two responses to one request.
   kDuplicateResponse,
+  // Runs the request and responds with the status line `status_line`.
+  kStatusLine,
   // Refuses the first request as kShed does, and answers each later one with
   // that refusal once more, although it runs the request.
   kRepeatedRefusal,
@@ -61,6 +63,8 @@
   // their header Retry-After.
   int refusals_left = 0;
   std::string retry_after;
+  // Status line of the responses with the fault kStatusLine.
+  std::string status_line;
   // Value of the header Server-Limit in all responses; empty for none.
   std::string rate_limit;
   // When each request arrived, health probes included.
--- a/src/upstream/exchange.cc
+++ b/src/upstream/exchange.cc
@@ -65,6 +65,22 @@
   return status >= 100 && status < 200;
 }
 
+// Statuses that a final response may have. Beast accepts any three digits, and
+// RFC 9110 defines no classes beyond 5xx.
+bool IsFinalStatus(unsigned status) {
+  return status >= 200 && status <= 599;
+}
+
+// Returns whether an error says that the bytes of the upstream are no valid
+// response. A connection that ends too early is no such error.
+bool IsParseError(const error_code& error) {
+  static const auto& parser_category =
+      http::make_error_code(http::error::bad_status).category();
+  return error.category() == parser_category &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
 bool IsKernelTimeout(const error_code& error) {
   return error == asio::error::timed_out;
 }
@@ -186,11 +202,13 @@
     this->Finish(error);
     return;
   }
-  if (IsInformational(this->parser->get().result_int())) {
-    if (++this->interim_responses > kMaxInterimResponses)
-      this->Finish(http::error::header_limit);
-    else
-      this->ReadHeader();
+  const unsigned status = this->parser->get().result_int();
+  if (IsInformational(status)) {
+    this->OnInterimHeader(status);
+    return;
+  }
+  if (!IsFinalStatus(status)) {
+    this->RejectStatus(status);
     return;
   }
   this->end.progress = Progress::kHeaderReceived;
@@ -200,6 +218,21 @@
   this->handlers.on_header(this->parser->get());
 }
 
+void Exchange::OnInterimHeader(unsigned status) {
+  // No request asks for another protocol, and what follows 101 is not HTTP.
+  const bool is_switching =
+      status == static_cast<unsigned>(http::status::switching_protocols);
+  if (is_switching || ++this->interim_responses > kMaxInterimResponses)
+    this->RejectStatus(status);
+  else
+    this->ReadHeader();
+}
+
+void Exchange::RejectStatus(unsigned status) {
+  this->end.rejected_status = status;
+  this->Finish(http::error::bad_status);
+}
+
 void Exchange::Resume() {
   if (this->is_finished)
     return;
@@ -294,6 +327,7 @@
   this->is_finished = true;
   this->timer.cancel();
   this->end.error = error;
+  this->end.is_malformed = IsParseError(error);
   if (IsKernelTimeout(error) && this->end.is_connection_reused &&
       this->end.progress == Progress::kMaybeSent)
     this->end.is_silent = true;
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -73,6 +73,8 @@
   void OnConnected(const boost::system::error_code& error);
   void OnSent(const boost::system::error_code& error);
   void OnHeader(const boost::system::error_code& error);
+  void OnInterimHeader(unsigned status);
+  void RejectStatus(unsigned status);
   void OnBody(const boost::system::error_code& error);
   void ArmTimer(base::Duration timeout, bool is_silence_timer);
   void OnTimer(std::uint64_t armed_generation, bool ends_by_silence);
--- a/src/upstream/exchange_end_type.h
+++ b/src/upstream/exchange_end_type.h
@@ -25,6 +25,11 @@
   // The kernel of the upstream acknowledged nothing for the silence timeout, or
   // nothing was received on a reused connection within it.
   bool is_silent = false;
+  // The upstream sent bytes that are not a valid response: they cannot be
+  // parsed, or the status is none that a final response may have.
+  bool is_malformed = false;
+  // The status that was not accepted; 0 if there was none.
+  unsigned rejected_status = 0;
   // The exchange was ended by Exchange::Cancel().
   bool is_cancelled = false;
 };
