--- a/tests/request/waiting_test.cc
+++ b/tests/request/waiting_test.cc
@@ -35,6 +35,7 @@
 
   void EndAttempt(AttemptResult result) {
     AttemptEnd end;
+    end.attempt_id = this->request.attempts.back().id;
     end.result = result;
     OnAttemptEnd(this->request, end, this->context, kNow);
   }
