--- a/tests/gateway/allowance_test.cc
+++ b/tests/gateway/allowance_test.cc
@@ -11,7 +11,6 @@
 #include "clock/now_func.h"
 #include "fleet/shard_func.h"
 #include "fleet/view_func.h"
-#include "gateway/allowance_driver.h"
 #include "gateway/peer_driver.h"
 #include "tests/gateway/fleet_fixture.h"
 
@@ -23,6 +22,14 @@
 
 constexpr double kRate = 20;
 
+// Number of accounts of the configuration, so that some of them are owned by
+// another gateway than the dispatcher.
+constexpr int kAccounts = 40;
+
+std::string AccountName(int number) {
+  return "client-" + std::to_string(number);
+}
+
 // Three gateways and a peer that sends them slot requests of a client account,
 // as a fourth gateway would. The owner of the account is not the dispatcher.
 struct AllowanceFleet : FleetFixture {
@@ -32,6 +39,11 @@
                     const datagram::Message& message) {
                this->OnReply(from, message);
              }) {
+    this->accounts.emplace();
+    for (int i = 0; i < kAccounts; ++i)
+      (*this->accounts)[AccountName(i)] = {.keys = {"key-" + AccountName(i)},
+                                           .rate_per_second = kRate,
+                                           .burst = kRate};
     this->WriteConfiguration(1);
     this->AddUpstream("u1");
     for (int i = 0; i < 3; ++i)
@@ -45,14 +57,14 @@
     }));
     BOOST_REQUIRE(this->peer.Open("127.0.0.1:0").has_value());
     this->dispatcher = this->FirstInRank(fleet::DispatcherKey({{"s"}, 0, 1}));
-    for (int i = 0; this->owner.value.empty(); ++i) {
-      this->account = {"client-" + std::to_string(i)};
+    for (int i = 0; i < kAccounts && this->owner.value.empty(); ++i) {
+      this->account = {AccountName(i)};
       const base::DaemonId first = this->FirstInRank(
           allowance::GroupKey(allowance::GroupOf(this->account)));
       if (first != this->dispatcher)
         this->owner = first;
     }
-    this->InstallAccount();
+    BOOST_REQUIRE(!this->owner.value.empty());
   }
 
   ~AllowanceFleet() { this->peer.Close(); }
@@ -71,18 +83,6 @@
     return **found;
   }
 
-  // Adds the account to the configuration of all gateways.
-  void InstallAccount() {
-    for (const auto& gateway : this->gateways) {
-      auto configuration =
-          std::make_shared<fleet::Configuration>(*gateway->configuration);
-      configuration->accounts[this->account] = {
-          this->account, std::nullopt, {kRate, kRate}};
-      gateway->configuration = configuration;
-      InstallAccountLimits(*gateway);
-    }
-  }
-
   void SendSlotRequest() {
     dispatch::SlotRequest slot_request;
     slot_request.attempt_id = {++this->sent};
