Process pipelined requests of a connection concurrently

Each request is passed on as its own edge::Exchange; responses are written in the order of the requests. The gateway says by the route whether a request may overlap.

Ruled out: starting look-ups ahead of an order that is held back (they would overtake it); starting an order when the responses before it are known but not written (the connection may still break before its turn).

Tests: the type of the handle in tests/edge/server_test.cc changes, its checks do not.

--- a/src/daemon/admin_func.cc
+++ b/src/daemon/admin_func.cc
@@ -106,28 +106,28 @@
 }  // namespace
 
 void OnAdminRequest(Daemon& daemon,
-                    const std::shared_ptr<edge::Session>& session,
+                    const std::shared_ptr<edge::Exchange>& caller_exchange,
                     const edge::HttpRequest& request) {
   const std::string_view path(request.target().data(), request.target().size());
   if (path == "/admin/v1/notes" && request.method() == http::verb::post) {
     if (!IsAuthorizedOperator(daemon, request)) {
       metrics::IncrementCounter(daemon.metrics,
                                 "poplarfork_operators_refused_total");
-      session->Respond(
+      caller_exchange->Respond(
           MakeTextResponse(http::status::unauthorized,
                            "the operator token is missing or wrong\n"));
       return;
     }
-    PublishNote(daemon, session, request);
+    PublishNote(daemon, caller_exchange, request);
     return;
   }
   const Resource* resource = FindResource(path);
   if (!resource || request.method() != http::verb::get) {
-    session->Respond(
+    caller_exchange->Respond(
         MakeTextResponse(http::status::not_found, "no such resource\n"));
     return;
   }
-  session->Respond(
+  caller_exchange->Respond(
       resource->make_response(daemon, path.substr(resource->path.size())));
 }
 
--- a/src/daemon/admin_func.h
+++ b/src/daemon/admin_func.h
@@ -8,7 +8,7 @@
 
 // Responds to a request to the administration API.
 void OnAdminRequest(Daemon& daemon,
-                    const std::shared_ptr<edge::Session>& session,
+                    const std::shared_ptr<edge::Exchange>& caller_exchange,
                     const edge::HttpRequest& request);
 
 }  // namespace poplarfork::daemon
--- a/src/daemon/attempt_end_func.cc
+++ b/src/daemon/attempt_end_func.cc
@@ -140,11 +140,11 @@
       std::to_string(request->response_header.result_int());
   if (request->claimed)
     EndClaimedRunAfterStream(daemon, request, true);
-  request->session->WritePart(
+  request->caller_exchange->WritePart(
       *last_part, [&daemon, request, last_part, status](bool success) {
         EndRequest(daemon, request, success ? status : "caller_gone");
         if (success)
-          request->session->EndStream();
+          request->caller_exchange->EndStream();
       });
 }
 
@@ -157,7 +157,7 @@
     EndClaimedRunAfterStream(daemon, request, false);
   daemon.claimed_requests.erase(request->token);
   request->claimed = false;
-  request->session->Abort();
+  request->caller_exchange->Abort();
   EndRequest(daemon, request, reason);
 }
 
--- a/src/daemon/attempt_func.cc
+++ b/src/daemon/attempt_func.cc
@@ -68,7 +68,8 @@
   upstream_request->set(
       "Poplarfork-Deadline-Ms",
       std::to_string(load::RemainingTime(request.deadline, now).count()));
-  upstream_request->set("X-Forwarded-For", request.session->CallerEndpoint());
+  upstream_request->set("X-Forwarded-For",
+                        request.caller_exchange->CallerEndpoint());
   if (request.resuming_download) {
     upstream_request->set(
         http::field::range,
--- a/src/daemon/claim_func.cc
+++ b/src/daemon/claim_func.cc
@@ -152,7 +152,7 @@
   LogClaimDecision(daemon, request, "stop_run", "");
   if (request->exchange)
     request->exchange->Cancel();
-  request->session->Abort();
+  request->caller_exchange->Abort();
   EndRequest(daemon, request, "caller_gone");
 }
 
--- a/src/daemon/daemon_type.h
+++ b/src/daemon/daemon_type.h
@@ -67,8 +67,8 @@
   release::ReleaseState release;
   // Sessions of operators whose publish request is still being processed, by
   // publication id.
-  std::unordered_map<std::uint64_t, std::shared_ptr<edge::Session>>
-      publish_sessions;
+  std::unordered_map<std::uint64_t, std::shared_ptr<edge::Exchange>>
+      publish_exchanges;
   std::uint64_t next_publication_id = 1;
 
   membership::Membership membership;
@@ -94,7 +94,7 @@
 
   load::LoadState load;
   upstream::Pool upstream_pool;
-  std::unordered_map<const edge::Session*, RequestPtr> requests_by_session;
+  std::unordered_map<const edge::Exchange*, RequestPtr> requests_by_exchange;
   std::uint64_t next_request_number = 1;
   std::uint64_t next_attempt_number = 1;
   std::uint64_t next_request_token = 1;
--- a/src/daemon/delivery_func.cc
+++ b/src/daemon/delivery_func.cc
@@ -131,7 +131,7 @@
 
 void StartStreaming(const RequestPtr& request) {
   request->delivery_mode = DeliveryMode::kStreamed;
-  request->session->StartStream(
+  request->caller_exchange->StartStream(
       request->response_header,
       [request](bool success) { OnPartWritten(request, success); });
 }
@@ -175,7 +175,7 @@
 void WriteBufferedPart(const RequestPtr& request, std::string next_part) {
   auto part = std::make_shared<std::string>(std::move(request->buffered_body));
   request->buffered_body = std::move(next_part);
-  request->session->WritePart(*part, [request, part](bool success) {
+  request->caller_exchange->WritePart(*part, [request, part](bool success) {
     OnPartWritten(request, success);
   });
 }
--- a/src/daemon/edge_func.cc
+++ b/src/daemon/edge_func.cc
@@ -50,9 +50,9 @@
 }
 
 void OnFleetRequest(Daemon& daemon,
-                    const std::shared_ptr<edge::Session>& session,
+                    const std::shared_ptr<edge::Exchange>& caller_exchange,
                     const edge::HttpRequest& request) {
-  session->Respond(MakeFleetResponse(daemon, request));
+  caller_exchange->Respond(MakeFleetResponse(daemon, request));
 }
 
 }  // namespace poplarfork::daemon
--- a/src/daemon/edge_func.h
+++ b/src/daemon/edge_func.h
@@ -13,7 +13,7 @@
 // Responds to a request for the fleet itself: for the addresses that a caller
 // should use, for a new idempotency key, or for whether this daemon is serving.
 void OnFleetRequest(Daemon& daemon,
-                    const std::shared_ptr<edge::Session>& session,
+                    const std::shared_ptr<edge::Exchange>& caller_exchange,
                     const edge::HttpRequest& request);
 
 }  // namespace poplarfork::daemon
--- a/src/daemon/release_driver_func.cc
+++ b/src/daemon/release_driver_func.cc
@@ -41,12 +41,12 @@
   body["reason"] = value::string(result.reason);
   body["detail"] = value::string(result.detail);
   logging::WriteLogLine("publish", body);
-  const auto found = daemon.publish_sessions.find(result.id.value);
-  if (found == daemon.publish_sessions.end())
+  const auto found = daemon.publish_exchanges.find(result.id.value);
+  if (found == daemon.publish_exchanges.end())
     return;
-  const auto session = found->second;
-  daemon.publish_sessions.erase(found);
-  session->Respond(MakeJsonResponse(http::status::ok, body));
+  const auto caller_exchange = found->second;
+  daemon.publish_exchanges.erase(found);
+  caller_exchange->Respond(MakeJsonResponse(http::status::ok, body));
 }
 
 void ExecuteAction(Daemon& daemon,
@@ -91,7 +91,7 @@
 }
 
 void PublishNote(Daemon& daemon,
-                 const std::shared_ptr<edge::Session>& session,
+                 const std::shared_ptr<edge::Exchange>& caller_exchange,
                  const edge::HttpRequest& request) {
   const auto note_id = request["Poplarfork-Note-Id"];
   release::PublishRequest publish_request;
@@ -99,7 +99,7 @@
   publish_request.note_id = {std::string(note_id.data(), note_id.size())};
   publish_request.yaml = request.body();
   publish_request.published_unix_ms = UnixTimeMs();
-  daemon.publish_sessions[publish_request.id.value] = session;
+  daemon.publish_exchanges[publish_request.id.value] = caller_exchange;
   HandleReleaseEvent(daemon, std::move(publish_request));
 }
 
--- a/src/daemon/release_driver_func.h
+++ b/src/daemon/release_driver_func.h
@@ -13,7 +13,7 @@
 // Publishes the release note in an operator's request. The response is sent
 // when the outcome is known.
 void PublishNote(Daemon& daemon,
-                 const std::shared_ptr<edge::Session>& session,
+                 const std::shared_ptr<edge::Exchange>& caller_exchange,
                  const edge::HttpRequest& request);
 
 }  // namespace poplarfork::daemon
--- a/src/daemon/request_end_func.cc
+++ b/src/daemon/request_end_func.cc
@@ -39,7 +39,7 @@
                 const std::string& result) {
   const base::Duration latency = clock::Now() - request->arrived_at;
   request->ended = true;
-  daemon.requests_by_session.erase(request->session.get());
+  daemon.requests_by_exchange.erase(request->caller_exchange.get());
   if (request->admitted)
     load::OnRequestDone(daemon.load, request->service);
   request->admitted = false;
@@ -58,7 +58,7 @@
     EndClaimedRunWithProblem(daemon, request, problem);
     return;
   }
-  request->session->Respond(MakeProblemResponse(problem, request->id));
+  request->caller_exchange->Respond(MakeProblemResponse(problem, request->id));
   EndRequest(daemon, request,
              std::string(OutcomeName(problem.outcome)) + " " + problem.reason);
 }
@@ -71,7 +71,7 @@
   if (request->claimed)
     EndClaimedRunWithResponse(daemon, request, response);
   const std::string result = std::to_string(response.result_int());
-  request->session->Respond(std::move(response));
+  request->caller_exchange->Respond(std::move(response));
   EndRequest(daemon, request, result);
 }
 
--- a/src/daemon/request_func.cc
+++ b/src/daemon/request_func.cc
@@ -67,18 +67,18 @@
 }
 
 RequestPtr MakeRequest(Daemon& daemon,
-                       std::shared_ptr<edge::Session> session,
+                       std::shared_ptr<edge::Exchange> caller_exchange,
                        edge::HttpRequest http_request) {
   auto request = std::make_shared<Request>();
   request->id = MakeRequestId(daemon);
-  request->session = std::move(session);
+  request->caller_exchange = std::move(caller_exchange);
   request->http_request =
       std::make_shared<edge::HttpRequest>(std::move(http_request));
   request->configuration = daemon.configuration;
   request->arrived_at = clock::Now();
   request->account = {
       std::string(ToStringView((*request->http_request)[kAccountField]))};
-  daemon.requests_by_session[request->session.get()] = request;
+  daemon.requests_by_exchange[request->caller_exchange.get()] = request;
   return request;
 }
 
@@ -163,10 +163,10 @@
 }  // namespace
 
 void OnRequest(Daemon& daemon,
-               std::shared_ptr<edge::Session> session,
+               std::shared_ptr<edge::Exchange> caller_exchange,
                edge::HttpRequest http_request) {
   const RequestPtr request =
-      MakeRequest(daemon, std::move(session), std::move(http_request));
+      MakeRequest(daemon, std::move(caller_exchange), std::move(http_request));
   if (!RouteRequest(daemon, request))
     return;
   const auto found = daemon.services.find(request->service);
@@ -189,10 +189,11 @@
     HandleNonRepeatableRequest(daemon, request);
 }
 
-void OnCallerDisconnected(Daemon& daemon,
-                          const std::shared_ptr<edge::Session>& session) {
-  const auto found = daemon.requests_by_session.find(session.get());
-  if (found == daemon.requests_by_session.end())
+void OnCallerDisconnected(
+    Daemon& daemon,
+    const std::shared_ptr<edge::Exchange>& caller_exchange) {
+  const auto found = daemon.requests_by_exchange.find(caller_exchange.get());
+  if (found == daemon.requests_by_exchange.end())
     return;
   const RequestPtr request = found->second;
   request->caller_disconnected = true;
--- a/src/daemon/request_func.h
+++ b/src/daemon/request_func.h
@@ -3,7 +3,7 @@
 #include <memory>
 
 #include "daemon/daemon_type.h"
-#include "edge/session.h"
+#include "edge/exchange.h"
 
 namespace poplarfork::daemon {
 
@@ -11,13 +11,14 @@
 // request and starts its first attempt or its claim, or responds with a
 // problem.
 void OnRequest(Daemon& daemon,
-               std::shared_ptr<edge::Session> session,
+               std::shared_ptr<edge::Exchange> caller_exchange,
                edge::HttpRequest http_request);
 
-// Handles that the caller of the current request of `session` has disconnected.
+// Handles that the caller of the current request has disconnected.
 // A repeatable request is cancelled at the upstream. Any other request goes on
 // running, so that the caller can learn its outcome by sending it again.
-void OnCallerDisconnected(Daemon& daemon,
-                          const std::shared_ptr<edge::Session>& session);
+void OnCallerDisconnected(
+    Daemon& daemon,
+    const std::shared_ptr<edge::Exchange>& caller_exchange);
 
 }  // namespace poplarfork::daemon
--- a/src/daemon/request_type.h
+++ b/src/daemon/request_type.h
@@ -9,7 +9,7 @@
 #include "base/time_type.h"
 #include "claim/run_key_type.h"
 #include "daemon/digest.h"
-#include "edge/session.h"
+#include "edge/exchange.h"
 #include "note/configuration_type.h"
 #include "upstream/exchange.h"
 
@@ -29,7 +29,7 @@
 // One request of a caller, from its arrival to the end of its response.
 struct Request {
   base::RequestId id;
-  std::shared_ptr<edge::Session> session;
+  std::shared_ptr<edge::Exchange> caller_exchange;
   std::shared_ptr<edge::HttpRequest> http_request;
   // The configuration that was in force when the request arrived. A release
   // note that is installed later does not change it.
--- a/src/daemon/shutdown_func.cc
+++ b/src/daemon/shutdown_func.cc
@@ -31,7 +31,7 @@
   auto fields = web::json::value::object();
   fields["step"] = web::json::value::string(DrainActionName(action));
   fields["requests_in_flight"] =
-      web::json::value::number(daemon.requests_by_session.size());
+      web::json::value::number(daemon.requests_by_exchange.size());
   logging::WriteLogLine("shutdown", std::move(fields));
 }
 
--- a/src/daemon/startup_func.cc
+++ b/src/daemon/startup_func.cc
@@ -95,16 +95,17 @@
 
 edge::Handlers MakeEdgeHandlers(Daemon& daemon) {
   edge::Handlers handlers;
-  handlers.on_request = [&daemon](std::shared_ptr<edge::Session> session,
-                                  edge::HttpRequest request) {
+  handlers.on_request = [&daemon](
+                            std::shared_ptr<edge::Exchange> caller_exchange,
+                            edge::HttpRequest request) {
     if (IsFleetPath(request))
-      OnFleetRequest(daemon, session, request);
+      OnFleetRequest(daemon, caller_exchange, request);
     else
-      OnRequest(daemon, std::move(session), std::move(request));
+      OnRequest(daemon, std::move(caller_exchange), std::move(request));
   };
   handlers.on_caller_disconnected =
-      [&daemon](const std::shared_ptr<edge::Session>& session) {
-        OnCallerDisconnected(daemon, session);
+      [&daemon](const std::shared_ptr<edge::Exchange>& caller_exchange) {
+        OnCallerDisconnected(daemon, caller_exchange);
       };
   handlers.on_rejected = [&daemon](const std::string& caller,
                                    const edge::Rejection& rejection) {
@@ -115,11 +116,12 @@
 
 edge::Handlers MakeAdminHandlers(Daemon& daemon) {
   edge::Handlers handlers;
-  handlers.on_request = [&daemon](const std::shared_ptr<edge::Session>& session,
-                                  const edge::HttpRequest& request) {
-    OnAdminRequest(daemon, session, request);
-  };
-  handlers.on_caller_disconnected = [](const std::shared_ptr<edge::Session>&) {
+  handlers.on_request =
+      [&daemon](const std::shared_ptr<edge::Exchange>& caller_exchange,
+                const edge::HttpRequest& request) {
+        OnAdminRequest(daemon, caller_exchange, request);
+      };
+  handlers.on_caller_disconnected = [](const std::shared_ptr<edge::Exchange>&) {
   };
   handlers.on_rejected = [&daemon](const std::string& caller,
                                    const edge::Rejection& rejection) {
--- a/src/daemon/status_func.cc
+++ b/src/daemon/status_func.cc
@@ -74,7 +74,7 @@
   fields["hash"] = value::string(daemon.release.install.configuration.hash);
   fields["store_reachable"] = value::boolean(daemon.store_reachable);
   fields["requests_in_flight"] =
-      value::number(daemon.requests_by_session.size());
+      value::number(daemon.requests_by_exchange.size());
   fields["members"] = DescribeMembers(daemon);
   fields["services"] = DescribeServices(daemon);
   return fields;
@@ -100,7 +100,7 @@
 
 void UpdateGauges(Daemon& daemon) {
   metrics::SetGauge(daemon.metrics, "poplarfork_requests_in_flight",
-                    static_cast<double>(daemon.requests_by_session.size()));
+                    static_cast<double>(daemon.requests_by_exchange.size()));
   metrics::SetGauge(daemon.metrics, "poplarfork_caller_connections",
                     static_cast<double>(daemon.edge_server->ConnectionCount()));
   std::uint64_t sent = 0;
--- a/src/edge/server.cc
+++ b/src/edge/server.cc
@@ -22,7 +22,7 @@
 Server::Server(asio::io_context& loop, Limits limits, Handlers handlers)
     : acceptor(loop),
       context(std::make_shared<SessionContext>(
-          SessionContext{limits, std::move(handlers), 0, false})) {}
+          SessionContext{.limits = limits, .handlers = std::move(handlers)})) {}
 
 base::Result<std::string> Server::Listen(const std::string& address) {
   const std::size_t colon = address.rfind(':');
--- a/src/gateway/active_request_type.h
+++ b/src/gateway/active_request_type.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "edge/session.h"
+#include "edge/exchange.h"
 #include "request/request_type.h"
 #include "upstream/whole_call.h"
 
@@ -15,7 +15,7 @@
 struct ActiveRequest {
   // State from which the next action is decided.
   request::Request state;
-  std::shared_ptr<edge::Session> session;
+  std::shared_ptr<edge::Exchange> caller_exchange;
   edge::HttpRequest http_request;
   // Id of the caller's attempt, used in logs and sent to the upstream.
   std::string request_id;
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -101,8 +101,8 @@
   std::unordered_map<request::RequestNumber, std::unique_ptr<ActiveRequest>>
       requests;
   // Number of the active request on each caller connection.
-  std::unordered_map<const edge::Session*, request::RequestNumber>
-      requests_by_session;
+  std::unordered_map<const edge::Exchange*, request::RequestNumber>
+      requests_by_exchange;
   std::uint64_t next_request_number = 1;
   std::uint64_t next_attempt_id = 1;
   // Number of the request that each attempt belongs to, until the request ends.
--- a/src/gateway/http_servers.cc
+++ b/src/gateway/http_servers.cc
@@ -20,7 +20,7 @@
 namespace http = boost::beast::http;
 using edge::HttpRequest;
 using edge::HttpResponse;
-using SessionPtr = std::shared_ptr<edge::Session>;
+using ExchangePtr = std::shared_ptr<edge::Exchange>;
 
 // Time for which callers may use the addresses in a response. Callers request
 // the addresses again after this time, so a short time makes them soon stop
@@ -97,12 +97,12 @@
 edge::Handlers MakeImmediateHandlers(Gateway& gateway,
                                      ImmediateHandler handler) {
   edge::Handlers handlers;
-  handlers.on_request = [&gateway, handler](const SessionPtr& session,
+  handlers.on_request = [&gateway, handler](const ExchangePtr& caller_exchange,
                                             const HttpRequest& request) {
-    session->Respond(handler(gateway, request));
+    caller_exchange->Respond(handler(gateway, request));
   };
-  handlers.on_caller_disconnected = [](const SessionPtr& session) {
-    session->Abort();
+  handlers.on_caller_disconnected = [](const ExchangePtr& caller_exchange) {
+    caller_exchange->Abort();
   };
   handlers.on_rejected = [](const std::string&,
                             const edge::Rejection& rejection) {
@@ -115,14 +115,18 @@
 // upstreams.
 edge::Handlers MakeFrontHandlers(Gateway& gateway) {
   edge::Handlers handlers;
-  handlers.on_request = [&gateway](const SessionPtr& session,
+  handlers.on_request = [&gateway](const ExchangePtr& caller_exchange,
                                    HttpRequest request) {
-    OnCallerRequest(gateway, session, std::move(request));
+    OnCallerRequest(gateway, caller_exchange, std::move(request));
   };
-  handlers.on_caller_disconnected = [&gateway](const SessionPtr& session) {
-    OnCallerDisconnected(gateway, *session);
-    session->Abort();
+  handlers.may_overlap = [&gateway](const HttpRequest& request) {
+    return MayOverlap(gateway, request);
   };
+  handlers.on_caller_disconnected =
+      [&gateway](const ExchangePtr& caller_exchange) {
+        OnCallerDisconnected(gateway, *caller_exchange);
+        caller_exchange->Abort();
+      };
   handlers.on_rejected = [&gateway](const std::string& caller,
                                     const edge::Rejection& rejection) {
     Log(gateway, "input_rejected",
@@ -143,8 +147,11 @@
   edge::Limits limits;
   limits.max_buffered_bytes = kMaxBufferedBytes;
   limits.max_connections = kMaxCallerConnections;
+  edge::Limits front_limits = limits;
+  front_limits.pipeline_limit =
+      static_cast<std::size_t>(gateway.settings.pipeline_limit);
   gateway.front_server = std::make_shared<edge::Server>(
-      gateway.loop, limits, MakeFrontHandlers(gateway));
+      gateway.loop, front_limits, MakeFrontHandlers(gateway));
   gateway.readiness_server = std::make_shared<edge::Server>(
       gateway.loop, limits,
       MakeImmediateHandlers(gateway, HandleReadinessRequest));
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -154,7 +154,7 @@
   const auto found = gateway.requests.find(number);
   if (found == gateway.requests.end())
     return;
-  gateway.requests_by_session.erase(found->second->session.get());
+  gateway.requests_by_exchange.erase(found->second->caller_exchange.get());
   std::erase_if(gateway.requests_by_attempt,
                 [number](const auto& item) { return item.second == number; });
   gateway.requests.erase(found);
@@ -167,7 +167,7 @@
   const unsigned status = response.header.result_int();
   LogResponse(gateway, active_request, status,
               status < 400 ? "served" : "upstream_failure");
-  active_request.session->Respond(
+  active_request.caller_exchange->Respond(
       platform::MakeCallerResponse(response.header, std::move(response.body)));
 }
 
@@ -253,7 +253,7 @@
   edge::HttpResponse response = MakeFailureResponse(action);
   LogResponse(gateway, active_request, response.result_int(),
               FailureName(action.failure));
-  active_request.session->Respond(std::move(response));
+  active_request.caller_exchange->Respond(std::move(response));
 }
 
 void ExecuteActions(Gateway& gateway,
@@ -276,9 +276,9 @@
 }
 
 dispatch::RequestFingerprints ComputeFingerprints(
-    const edge::Session& session,
+    const edge::Exchange& caller_exchange,
     const edge::HttpRequest& http_request) {
-  const std::string& caller = session.CallerEndpoint();
+  const std::string& caller = caller_exchange.CallerEndpoint();
   return request::ComputeFingerprints(caller.substr(0, caller.rfind(':')),
                                       std::string(http_request.method_string()),
                                       std::string(http_request.target()),
@@ -287,7 +287,7 @@
 
 // Rejects a request before an upstream is chosen for it.
 void RejectRequest(Gateway& gateway,
-                   edge::Session& session,
+                   edge::Exchange& caller_exchange,
                    const edge::HttpRequest& http_request,
                    http::status status,
                    const char* reason,
@@ -309,16 +309,27 @@
   metrics::IncrementCounter(
       gateway.metrics,
       std::string("rejected_total{reason=\"") + reason + "\"}");
-  session.Respond(std::move(response));
+  caller_exchange.Respond(std::move(response));
 }
 
 }  // namespace
 
+bool MayOverlap(const Gateway& gateway, const edge::HttpRequest& http_request) {
+  if (!gateway.configuration)
+    return false;
+  const auto host = http_request[http::field::host];
+  const auto target = http_request.target();
+  const fleet::Route* route =
+      fleet::FindRoute(*gateway.configuration, {host.data(), host.size()},
+                       {target.data(), target.size()});
+  return route && route->repeatable;
+}
+
 void OnCallerRequest(Gateway& gateway,
-                     const std::shared_ptr<edge::Session>& session,
+                     const std::shared_ptr<edge::Exchange>& caller_exchange,
                      edge::HttpRequest http_request) {
   if (!gateway.configuration) {
-    RejectRequest(gateway, *session, http_request,
+    RejectRequest(gateway, *caller_exchange, http_request,
                   http::status::service_unavailable, "no_configuration");
     return;
   }
@@ -328,8 +339,8 @@
       fleet::FindRoute(*gateway.configuration, {host.data(), host.size()},
                        {target.data(), target.size()});
   if (!route) {
-    RejectRequest(gateway, *session, http_request, http::status::not_found,
-                  "no_route");
+    RejectRequest(gateway, *caller_exchange, http_request,
+                  http::status::not_found, "no_route");
     return;
   }
   const base::TimePoint now = clock::Now();
@@ -339,16 +350,18 @@
       fields.time_left
           ? std::max(*fields.time_left - kResponseMargin, base::Duration(0))
           : route->timeout;
+  // The request may have waited for the responses before it.
+  const base::TimePoint received_at = caller_exchange->ReceivedAt();
   const base::TimePoint deadline =
-      now + std::min(route->timeout, caller_time_left);
+      received_at + std::min(route->timeout, caller_time_left);
   if (!CanFinishRequest(gateway, deadline)) {
-    RejectRequest(gateway, *session, http_request,
+    RejectRequest(gateway, *caller_exchange, http_request,
                   http::status::service_unavailable, "draining");
     return;
   }
   const RequestNumber number{gateway.next_request_number++};
   auto active_request = std::make_unique<ActiveRequest>();
-  active_request->session = session;
+  active_request->caller_exchange = caller_exchange;
   active_request->request_id = fields.request_id;
   active_request->route_name = route->name;
   active_request->configuration_version = gateway.configuration->version.value;
@@ -360,20 +373,20 @@
   arrival.priority = route->priority;
   active_request->service_name = arrival.work_class.service.value;
   arrival.shard_slots = GetShardSlots(gateway, arrival.work_class.service);
-  arrival.fingerprints = ComputeFingerprints(*session, http_request);
+  arrival.fingerprints = ComputeFingerprints(*caller_exchange, http_request);
   if (dispatch::IsKnownToCrash(gateway.dispatcher, arrival.fingerprints, now)) {
-    RejectRequest(gateway, *session, http_request,
+    RejectRequest(gateway, *caller_exchange, http_request,
                   http::status::service_unavailable, "crashes_upstreams",
                   dispatch::kCrashingRetryAfter);
     return;
   }
-  arrival.late_at = now + route->latency_objective;
+  arrival.late_at = received_at + route->latency_objective;
   arrival.deadline = std::min(deadline, LatestResponseAt(gateway));
   arrival.max_attempts = route->max_attempts;
   active_request->http_request = std::move(http_request);
   ActiveRequest& started_request = *active_request;
   gateway.requests.emplace(number, std::move(active_request));
-  gateway.requests_by_session[session.get()] = number;
+  gateway.requests_by_exchange[caller_exchange.get()] = number;
   ExecuteActions(gateway, number,
                  request::BeginRequest(started_request.state, arrival,
                                        MakeContext(gateway, number), now));
@@ -387,9 +400,10 @@
   ArmRequestTimer(gateway, latest);
 }
 
-void OnCallerDisconnected(Gateway& gateway, const edge::Session& session) {
-  const auto found = gateway.requests_by_session.find(&session);
-  if (found == gateway.requests_by_session.end())
+void OnCallerDisconnected(Gateway& gateway,
+                          const edge::Exchange& caller_exchange) {
+  const auto found = gateway.requests_by_exchange.find(&caller_exchange);
+  if (found == gateway.requests_by_exchange.end())
     return;
   const RequestNumber number = found->second;
   ActiveRequest* active_request = FindActiveRequest(gateway, number);
--- a/src/gateway/settings_driver.cc
+++ b/src/gateway/settings_driver.cc
@@ -33,6 +33,16 @@
   dispatch_settings.floor_share = gateway.settings.floor_share;
 }
 
+// Copies the settings that concern the connections of callers to their server.
+void ApplyCallerSettings(Gateway& gateway) {
+  if (!gateway.front_server)
+    return;
+  edge::Limits limits = gateway.front_server->GetLimits();
+  limits.pipeline_limit =
+      static_cast<std::size_t>(gateway.settings.pipeline_limit);
+  gateway.front_server->SetLimits(limits);
+}
+
 }  // namespace
 
 base::Result<void> LoadSettings(Gateway& gateway, const std::string& path) {
@@ -61,9 +71,11 @@
   gateway.settings.retry_ratio = reloaded.retry_ratio;
   gateway.settings.retry_allowance = reloaded.retry_allowance;
   gateway.settings.floor_share = reloaded.floor_share;
+  gateway.settings.pipeline_limit = reloaded.pipeline_limit;
   gateway.settings.seeds = reloaded.seeds;
   gateway.settings.store_address = reloaded.store_address;
   ApplyDispatchSettings(gateway);
+  ApplyCallerSettings(gateway);
   Log(gateway, "reloaded",
       {{"cause", cause}, {"store_address", reloaded.store_address}});
 }
--- a/src/gateway/settings_table.cc
+++ b/src/gateway/settings_table.cc
@@ -19,6 +19,7 @@
 constexpr std::array kIntegerEntries = {
     Number{"retry_allowance", "requests", 0, 1000000, 50,
            &Settings::retry_allowance},
+    Number{"pipeline_limit", "requests", 1, 64, 8, &Settings::pipeline_limit},
 };
 
 constexpr std::array kDecimalEntries = {
--- a/src/gateway/settings_type.h
+++ b/src/gateway/settings_type.h
@@ -44,6 +44,8 @@
   std::int64_t retry_allowance = 0;
   // Share of the healthy upstreams that must get requests.
   double floor_share = 0;
+  // Requests of one caller connection that may be in progress at the same time.
+  std::int64_t pipeline_limit = 1;
   // Resources of the VM that this process may use: the share of a processor
   // core, the speed of that core relative to an ordinary one, and the bandwidth
   // of the link.
--- a/src/standin/platform_upstream_func.cc
+++ b/src/standin/platform_upstream_func.cc
@@ -118,7 +118,9 @@
     Crash(*upstream);
     return;
   }
-  if (upstream->fault == Fault::kHang)
+  const bool is_taken_over =
+      upstream->on_run && upstream->on_run(connection, request_id);
+  if (is_taken_over || upstream->fault == Fault::kHang)
     return;
   auto timer = std::make_shared<boost::asio::steady_timer>(upstream->executor);
   timer->expires_after(upstream->service_time);
--- a/src/standin/platform_upstream_type.h
+++ b/src/standin/platform_upstream_type.h
@@ -74,6 +74,10 @@
   // being refused.
   bool is_silent_after_crash = false;
   bool has_crashed = false;
+  // Called when a run starts. Returns whether it has taken over the response;
+  // empty for no action.
+  std::function<bool(const HttpConnectionPtr&, const std::string& request_id)>
+      on_run;
   // Called after a crash; empty for no action.
   std::function<void(PlatformUpstream&)> on_crash;
   // Request id of the request that kRepeatedRefusal has refused.
--- a/tests/edge/server_test.cc
+++ b/tests/edge/server_test.cc
@@ -32,7 +32,7 @@
     limits.max_buffered_bytes = 1500;
     limits.max_header_bytes = 1024;
     Handlers handlers;
-    handlers.on_request = [this](const std::shared_ptr<Session>& session,
+    handlers.on_request = [this](const std::shared_ptr<Exchange>& session,
                                  HttpRequest request) {
       ++this->request_count;
       this->last_body = request.body();
--- a/tests/gateway/fleet_fixture.cc
+++ b/tests/gateway/fleet_fixture.cc
@@ -79,6 +79,7 @@
   settings.retry_ratio = 0.2;
   settings.retry_allowance = 50;
   settings.floor_share = 0.7;
+  settings.pipeline_limit = this->pipeline_limit;
   gateway->dispatcher.settings.retry_allowance = 50;
   Gateway& added = *gateway;
   this->gateways.push_back(std::move(gateway));
--- a/tests/gateway/fleet_fixture.h
+++ b/tests/gateway/fleet_fixture.h
@@ -78,6 +78,9 @@
   // Runs the event loop for the given time without waiting for a condition.
   void RunFor(std::chrono::milliseconds time);
 
+  // Setting of the gateways that are added from now on.
+  std::int64_t pipeline_limit = 8;
+
   boost::asio::io_context loop;
   standin::PlatformStorePtr store;
   std::map<std::string, standin::PlatformUpstreamPtr> upstreams;
