Limit the bytes that a gateway buffers for callers and upstreams

Cause: callers and upstreams that read or send slowly made a gateway hold an unlimited number of complete responses; only request bodies, and upstream responses while they were being received, had limits of their own.

Change: one counter per gateway (base::ByteCounter) holds request bodies, their copies for upstreams, upstream responses and their read buffers while they are received, and responses that wait for their turn or are being written. The decision is base/memory_budget_func. Completed responses are delivered; a caller that does not read is closed after the write timeout, as before. New metric buffered_bytes, new event memory_pressure. Rejections with 503 for full buffers now carry Retry-After too.

Ruled out: pausing the reads from upstreams at the limit. Bodies that are half received could hold all of the memory until their deadlines.

--- a/src/edge/exchange_state_type.h
+++ b/src/edge/exchange_state_type.h
@@ -34,9 +34,11 @@
   std::function<void(bool is_written)> on_stream_started;
   bool stay_open = false;
 
-  // Space that is reserved for the body of the request, and the response while
-  // it waits for its turn.
+  // Space that is reserved for the body of the request, and for its copy that
+  // is sent to an upstream.
   base::ByteCharge request_charge;
+  base::ByteCharge request_copy_charge;
+  // The response while it waits for its turn or is being written.
   base::ByteCharge response_charge;
 };
 
--- a/src/edge/limits_type.h
+++ b/src/edge/limits_type.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "base/memory_budget_type.h"
 #include "base/time_type.h"
 
 namespace poplarfork::edge {
@@ -14,6 +15,9 @@
   std::uint64_t max_body_bytes = 1024 * 1024;
   // Limit of the request bodies that are buffered for all callers together.
   std::uint64_t max_buffered_bytes = 32 * 1024 * 1024;
+  // Limits of the bytes that the process buffers for callers and upstreams
+  // together.
+  base::MemoryBudget memory_budget;
   std::size_t max_connections = 8000;
   // Limit of the requests of one connection that are in progress at the same
   // time. With 1, a request is read after the response before it was written.
--- a/src/edge/pipeline_func.cc
+++ b/src/edge/pipeline_func.cc
@@ -23,7 +23,7 @@
 
 // Removes the entries from `first` on.
 std::vector<PipelineEntry> RemoveFrom(Entries& entries,
-                                      Entries::iterator first) {
+                                      const Entries::iterator& first) {
   std::vector<PipelineEntry> removed(first, entries.end());
   entries.erase(first, entries.end());
   return removed;
--- a/src/edge/server.cc
+++ b/src/edge/server.cc
@@ -75,6 +75,10 @@
   this->context->limits = limits;
 }
 
+void Server::SetMemoryCounter(std::shared_ptr<base::ByteCounter> counter) {
+  this->context->buffered->parent = std::move(counter);
+}
+
 void Server::CloseExpiredSessions(base::TimePoint now) {
   std::erase_if(this->sessions,
                 [now](const std::weak_ptr<Session>& weak_session) {
--- a/src/edge/server.h
+++ b/src/edge/server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/byte_counter_type.h"
 #include "base/result_type.h"
 #include "base/time_type.h"
 #include "edge/session.h"
@@ -27,6 +28,10 @@
   const Limits& GetLimits() const;
   void SetLimits(const Limits& limits);
 
+  // Counts the bytes that are buffered for callers in `counter` too. They are
+  // then subject to the memory budget of the limits. Called before Listen().
+  void SetMemoryCounter(std::shared_ptr<base::ByteCounter> counter);
+
   // Closes the sessions that are past their deadlines. Called on every tick.
   void CloseExpiredSessions(base::TimePoint now);
 
--- a/src/edge/session.cc
+++ b/src/edge/session.cc
@@ -115,8 +115,10 @@
   const bool closes = RequestsClose(response);
   const std::uint64_t bytes = response.body().size();
   state->response.emplace(std::move(response));
-  if (entry != &this->pipeline.entries.front())
-    state->response_charge = {this->context->buffered, bytes};
+  state->response_charge = {entry == &this->pipeline.entries.front()
+                                ? this->context->buffered->parent
+                                : this->context->buffered,
+                            bytes};
   this->Drop(SetAnswered(this->pipeline, number, closes, bytes));
   this->Advance();
 }
@@ -128,7 +130,8 @@
   this->write_deadline = clock::Now() + this->context->limits.write_timeout;
   const StatePtr state = this->FindState(start->number);
   state->stay_open = start->stay_open;
-  state->response_charge = {};
+  state->response_charge = {this->context->buffered->parent,
+                            state->response_charge.Bytes()};
   if (state->response)
     this->WriteWhole(state);
   else
@@ -161,6 +164,8 @@
   // The handler that called this function still owns the state.
   const StatePtr state = this->FindState(this->pipeline.entries.front().number);
   state->request_charge = {};
+  state->request_copy_charge = {};
+  state->response_charge = {};
   this->states.erase(this->pipeline.entries.front().number);
   FinishWrite(this->pipeline);
   this->write_deadline = base::TimePoint::max();
--- a/src/edge/session.h
+++ b/src/edge/session.h
@@ -86,6 +86,7 @@
   void OnHeader(const boost::system::error_code& error);
   std::optional<Rejection> CheckHeader() const;
   void ReadBodyIfAllowed();
+  const char* FindFullBuffer(std::uint64_t body_bytes) const;
   void ContinueThenReadBody();
   void ReadBody();
   void OnBody(const boost::system::error_code& error);
@@ -126,6 +127,7 @@
   ReadPhase read_phase = ReadPhase::kNone;
   base::TimePoint read_deadline = base::TimePoint::max();
   base::ByteCharge request_charge;
+  base::ByteCharge request_copy_charge;
   bool is_waiting_readable = false;
 
   Pipeline pipeline;
--- a/src/edge/session_end.cc
+++ b/src/edge/session_end.cc
@@ -141,6 +141,7 @@
   this->read_deadline = base::TimePoint::max();
   this->write_deadline = base::TimePoint::max();
   this->request_charge = {};
+  this->request_copy_charge = {};
   error_code ignored;
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
   this->socket.close(ignored);
--- a/src/edge/session_reading.cc
+++ b/src/edge/session_reading.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "base/memory_budget_func.h"
 #include "clock/now_func.h"
 #include "edge/pipeline_func.h"
 #include "edge/rejection_func.h"
@@ -148,14 +149,12 @@
       this->parser->is_done() ? 0
                               : this->parser->content_length().value_or(
                                     this->context->limits.max_body_bytes);
-  const bool has_space =
-      body_bytes == 0 || this->context->buffered->bytes + body_bytes <=
-                             this->context->limits.max_buffered_bytes;
+  const char* full_buffer = this->FindFullBuffer(body_bytes);
   const bool expects_continue =
       !this->parser->is_done() &&
       this->parser->get()[http::field::expect] == "100-continue";
   const BodyDecision decision =
-      DecideBody(this->pipeline, expects_continue, has_space);
+      DecideBody(this->pipeline, expects_continue, !full_buffer);
   if (decision == BodyDecision::kWait) {
     this->read_phase = ReadPhase::kBodyHeld;
     this->read_deadline = base::TimePoint::max();
@@ -163,19 +162,34 @@
     return;
   }
   if (decision == BodyDecision::kReject) {
-    this->Reject({http::status::service_unavailable, "buffers_full"});
+    this->Reject({http::status::service_unavailable, full_buffer});
     return;
   }
   if (this->read_phase == ReadPhase::kBodyHeld)
     this->read_deadline = clock::Now() + this->context->limits.header_timeout;
   this->read_phase = ReadPhase::kReading;
   this->request_charge = {this->context->buffered, body_bytes};
+  this->request_copy_charge = {this->context->buffered->parent, body_bytes};
   if (decision == BodyDecision::kContinueThenRead)
     this->ContinueThenReadBody();
   else
     this->ReadBody();
 }
 
+// Returns the reason why there is no space for a body, or null.
+const char* Session::FindFullBuffer(std::uint64_t body_bytes) const {
+  if (body_bytes == 0)
+    return nullptr;
+  const base::ByteCounter* memory = this->context->buffered->parent.get();
+  if (memory && !base::MayTakeRequest(this->context->limits.memory_budget,
+                                      memory->bytes, 2 * body_bytes))
+    return "memory_pressure";
+  return this->context->buffered->bytes + body_bytes >
+                 this->context->limits.max_buffered_bytes
+             ? "buffers_full"
+             : nullptr;
+}
+
 void Session::ContinueThenReadBody() {
   asio::async_write(
       this->socket, asio::buffer(kContinue),
@@ -218,7 +232,9 @@
   state->http_version = state->request.version();
   state->is_head = state->request.method() == http::verb::head;
   this->request_charge.Resize(state->request.body().size());
+  this->request_copy_charge.Resize(state->request.body().size());
   state->request_charge = std::move(this->request_charge);
+  state->request_copy_charge = std::move(this->request_copy_charge);
   PipelineEntry entry;
   entry.number = {this->next_exchange_number++};
   entry.closes = !state->request.keep_alive();
@@ -278,6 +294,7 @@
   this->read_phase = ReadPhase::kEnded;
   this->read_deadline = base::TimePoint::max();
   this->request_charge = {};
+  this->request_copy_charge = {};
   this->pipeline.accepts_requests = false;
 }
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/byte_counter_type.h"
 #include "base/rng_type.h"
 #include "datagram/channel.h"
 #include "dispatch/dispatcher_type.h"
@@ -109,6 +110,12 @@
   std::unordered_map<dispatch::AttemptId, request::RequestNumber>
       requests_by_attempt;
 
+  // Bytes that are buffered for callers and upstreams.
+  std::shared_ptr<base::ByteCounter> memory =
+      std::make_shared<base::ByteCounter>();
+  // Requests were refused at the last check because of buffered bytes.
+  bool has_memory_pressure = false;
+
   upstream::Pool upstream_pool;
   // Connections to the store and to the control addresses of other gateways.
   upstream::Pool control_pool;
--- a/src/gateway/http_servers.cc
+++ b/src/gateway/http_servers.cc
@@ -6,6 +6,7 @@
 #include "clock/now_func.h"
 #include "fleet/view_func.h"
 #include "gateway/log_func.h"
+#include "gateway/memory_driver.h"
 #include "gateway/peer_driver.h"
 #include "gateway/request_driver.h"
 #include "gateway/response_func.h"
@@ -42,6 +43,11 @@
 // descriptors; the rest is left for connections to upstreams and other daemons.
 constexpr std::size_t kMaxCallerConnections = 2800;
 
+// Value of the Retry-After field, in seconds, of a request that is refused
+// because the buffers are full. Responses to slow callers are sent within
+// seconds.
+constexpr const char* kFullBuffersRetryAfter = "1";
+
 HttpResponse MakeTextResponse(std::string body, const char* type) {
   HttpResponse response(http::status::ok, 11);
   response.set(http::field::content_type, type);
@@ -83,9 +89,11 @@
 HttpResponse HandleControlRequest(Gateway& gateway,
                                   const HttpRequest& request) {
   const std::string_view target = GetTarget(request);
-  if (target == kMetricsTarget)
+  if (target == kMetricsTarget) {
+    UpdateMemoryMetrics(gateway);
     return MakeTextResponse(metrics::FormatPrometheus(gateway.metrics),
                             "text/plain");
+  }
   if (target == kConfigurationTarget && !gateway.configuration_text.empty())
     return MakeTextResponse(gateway.configuration_text, "application/json");
   return MakeProblemResponse(http::status::not_found, "no_such_target");
@@ -136,7 +144,11 @@
     metrics::IncrementCounter(
         gateway.metrics,
         "input_rejected_total{reason=\"" + rejection.reason + "\"}");
-    return MakeProblemResponse(rejection.status, rejection.reason.c_str());
+    HttpResponse response =
+        MakeProblemResponse(rejection.status, rejection.reason.c_str());
+    if (rejection.status == http::status::service_unavailable)
+      response.set(http::field::retry_after, kFullBuffersRetryAfter);
+    return response;
   };
   return handlers;
 }
@@ -152,6 +164,8 @@
       static_cast<std::size_t>(gateway.settings.pipeline_limit);
   gateway.front_server = std::make_shared<edge::Server>(
       gateway.loop, front_limits, MakeFrontHandlers(gateway));
+  gateway.front_server->SetMemoryCounter(gateway.memory);
+  ApplyMemoryLimit(gateway);
   gateway.readiness_server = std::make_shared<edge::Server>(
       gateway.loop, limits,
       MakeImmediateHandlers(gateway, HandleReadinessRequest));
@@ -184,6 +198,7 @@
           return;
         const base::TimePoint now = clock::Now();
         gateway.front_server->CloseExpiredSessions(now);
+        HasMemoryForRequest(gateway);
         gateway.readiness_server->CloseExpiredSessions(now);
         gateway.directory_server->CloseExpiredSessions(now);
         gateway.control_server->CloseExpiredSessions(now);
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -14,6 +14,7 @@
 #include "gateway/attempt_driver.h"
 #include "gateway/dispatch_driver.h"
 #include "gateway/log_func.h"
+#include "gateway/memory_driver.h"
 #include "gateway/peer_driver.h"
 #include "gateway/response_func.h"
 #include "gateway/shutdown.h"
@@ -35,6 +36,9 @@
 // Value of the Retry-After field while this daemon has no configuration or
 // drains.
 constexpr base::Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+// Value of the Retry-After field while the buffers are full. Responses to slow
+// callers are sent within seconds.
+constexpr base::Duration kMemoryPressureRetryAfter = std::chrono::seconds(1);
 
 void ExecuteActions(Gateway& gateway,
                     RequestNumber number,
@@ -359,6 +363,12 @@
                   http::status::service_unavailable, "draining");
     return;
   }
+  if (!HasMemoryForRequest(gateway)) {
+    RejectRequest(gateway, *caller_exchange, http_request,
+                  http::status::service_unavailable, "memory_pressure",
+                  kMemoryPressureRetryAfter);
+    return;
+  }
   const RequestNumber number{gateway.next_request_number++};
   auto active_request = std::make_unique<ActiveRequest>();
   active_request->caller_exchange = caller_exchange;
--- a/src/gateway/settings_driver.cc
+++ b/src/gateway/settings_driver.cc
@@ -4,6 +4,7 @@
 
 #include "base/error_func.h"
 #include "gateway/log_func.h"
+#include "gateway/memory_driver.h"
 #include "gateway/settings_table.h"
 #include "settings/table_reader.h"
 
@@ -72,10 +73,12 @@
   gateway.settings.retry_allowance = reloaded.retry_allowance;
   gateway.settings.floor_share = reloaded.floor_share;
   gateway.settings.pipeline_limit = reloaded.pipeline_limit;
+  gateway.settings.memory_limit_mb = reloaded.memory_limit_mb;
   gateway.settings.seeds = reloaded.seeds;
   gateway.settings.store_address = reloaded.store_address;
   ApplyDispatchSettings(gateway);
   ApplyCallerSettings(gateway);
+  ApplyMemoryLimit(gateway);
   Log(gateway, "reloaded",
       {{"cause", cause}, {"store_address", reloaded.store_address}});
 }
--- a/src/gateway/settings_table.cc
+++ b/src/gateway/settings_table.cc
@@ -25,6 +25,7 @@
 constexpr std::array kDecimalEntries = {
     Decimal{"retry_ratio", 0, 1, 0.2, &Settings::retry_ratio},
     Decimal{"floor_share", 0, 1, 0.7, &Settings::floor_share},
+    Decimal{"memory_limit_mb", 0, 10000000, 0, &Settings::memory_limit_mb},
     Decimal{"cpu_share", 0.001, 1024, 1, &Settings::cpu_share},
     Decimal{"cpu_speed", 0.001, 1024, 1, &Settings::cpu_speed},
     Decimal{"link_mbps", 0.001, 10000000, 1000, &Settings::link_mbps},
--- a/src/gateway/settings_type.h
+++ b/src/gateway/settings_type.h
@@ -46,6 +46,9 @@
   double floor_share = 0;
   // Requests of one caller connection that may be in progress at the same time.
   std::int64_t pipeline_limit = 1;
+  // Memory of the VM in MB; half of it may hold buffers for callers and
+  // upstreams. 0: no limit.
+  double memory_limit_mb = 0;
   // Resources of the VM that this process may use: the share of a processor
   // core, the speed of that core relative to an ordinary one, and the bandwidth
   // of the link.
--- a/src/upstream/pool_type.h
+++ b/src/upstream/pool_type.h
@@ -2,9 +2,12 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "base/byte_counter_type.h"
+#include "base/memory_budget_type.h"
 #include "base/time_type.h"
 #include "upstream/connection_type.h"
 
@@ -38,6 +41,9 @@
   // Upper limit of the response bodies that are buffered at the same time. The
   // smallest VMs have 160 MB.
   std::size_t max_buffered_bytes = 64UL * 1024 * 1024;
+  // Limits of the bytes that the process buffers for callers and upstreams
+  // together.
+  base::MemoryBudget memory_budget;
 };
 
 // The connections to all upstreams, by address ("IP:port").
@@ -46,6 +52,9 @@
   std::map<std::string, AddressPool, std::less<>> address_pools;
   // Size of the response bodies that are being buffered.
   std::size_t buffered_bytes = 0;
+  // Counts what the process buffers for callers and upstreams together; may be
+  // null.
+  std::shared_ptr<base::ByteCounter> memory;
 };
 
 }  // namespace poplarfork::upstream
--- a/src/upstream/whole_call.cc
+++ b/src/upstream/whole_call.cc
@@ -2,10 +2,15 @@
 
 #include <utility>
 
+#include "base/memory_budget_func.h"
+
 namespace poplarfork::upstream {
 
 namespace {
 
+// Size of the buffer into which an exchange reads a body.
+constexpr std::uint64_t kReadBufferBytes = 64 * 1024;
+
 // State of a call whose response is being buffered.
 struct CallState {
   BufferedResponse response;
@@ -23,25 +28,41 @@
     exchange->Resume();
 }
 
+// Adds a part to the body. Returns false if a limit does not allow that.
+bool AppendPart(CallState& call, std::string_view part) {
+  Pool& pool = *call.pool;
+  base::ByteCharge& charge = call.response.body_charge;
+  const std::uint64_t charged_bytes =
+      part.size() + (charge.Bytes() == 0 ? kReadBufferBytes : 0);
+  if (call.response.body.size() + part.size() > call.max_body_bytes ||
+      pool.buffered_bytes + part.size() > pool.limits.max_buffered_bytes)
+    return false;
+  if (pool.memory &&
+      !base::MayBufferResponse(pool.limits.memory_budget, pool.memory->bytes,
+                               charged_bytes))
+    return false;
+  if (charge.Bytes() == 0)
+    charge = {pool.memory, 0};
+  charge.Resize(charge.Bytes() + charged_bytes);
+  pool.buffered_bytes += part.size();
+  call.response.body.append(part);
+  return true;
+}
+
 void OnBody(CallState& call, std::string_view part) {
-  const bool is_too_large =
-      call.response.body.size() + part.size() > call.max_body_bytes ||
-      call.pool->buffered_bytes + part.size() >
-          call.pool->limits.max_buffered_bytes;
-  if (is_too_large) {
+  if (!AppendPart(call, part)) {
     call.response.is_too_large = true;
     if (const auto exchange = call.exchange.lock())
       exchange->Cancel();
     return;
   }
-  call.pool->buffered_bytes += part.size();
-  call.response.body.append(part);
   ResumeExchange(call);
 }
 
 void OnEnd(CallState& call, const ExchangeEnd& end) {
   call.response.end = end;
   call.pool->buffered_bytes -= call.response.body.size();
+  call.response.body_charge.Resize(call.response.body.size());
   auto on_end = std::move(call.on_end);
   on_end(std::move(call.response));
 }
--- a/src/upstream/whole_call.h
+++ b/src/upstream/whole_call.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/byte_charge.h"
 #include "upstream/exchange.h"
 
 namespace poplarfork::upstream {
@@ -15,6 +16,8 @@
   ExchangeEnd end;
   HttpHeader header;
   std::string body;
+  // Counts the body in the memory counter of the pool.
+  base::ByteCharge body_charge;
   // The body exceeded `max_body_bytes`, and the connection was closed.
   bool is_too_large = false;
 
