Merge pipelined requests and the limit of buffered bytes

Conflicts: the actions of a request, its rejection and the client accounts had moved to files of their own; they address callers by exchange now.

--- a/src/edge/server.cc
+++ b/src/edge/server.cc
@@ -22,7 +22,7 @@
 Server::Server(asio::io_context& loop, Limits limits, Handlers handlers)
     : acceptor(loop),
       context(std::make_shared<SessionContext>(
-          SessionContext{limits, std::move(handlers), 0, false})) {}
+          SessionContext{.limits = limits, .handlers = std::move(handlers)})) {}
 
 base::Result<std::string> Server::Listen(const std::string& address) {
   const std::size_t colon = address.rfind(':');
@@ -75,6 +75,10 @@
   this->context->limits = limits;
 }
 
+void Server::SetMemoryCounter(std::shared_ptr<base::ByteCounter> counter) {
+  this->context->buffered->parent = std::move(counter);
+}
+
 void Server::CloseExpiredSessions(base::TimePoint now) {
   std::erase_if(this->sessions,
                 [now](const std::weak_ptr<Session>& weak_session) {
--- a/src/gateway/account_driver.cc
+++ b/src/gateway/account_driver.cc
@@ -32,7 +32,7 @@
 }  // namespace
 
 std::optional<AccountAdmission> AdmitAccount(Gateway& gateway,
-                                             edge::Session& session,
+                                             edge::Exchange& caller_exchange,
                                              edge::HttpRequest& http_request,
                                              const fleet::Route& route) {
   if (!gateway.configuration->has_accounts)
@@ -45,14 +45,15 @@
                              gateway.settings.key_revocation_limit,
                              clock::Now());
   if (!may_decide) {
-    RejectRequest(gateway, session, http_request,
+    RejectRequest(gateway, caller_exchange, http_request,
                   http::status::service_unavailable, "keys_not_confirmed");
     return std::nullopt;
   }
   const fleet::AccountDecision decision =
       fleet::DecideAccount(*gateway.configuration, route.is_public, credential);
   if (decision.result != fleet::AccountResult::kAllowed) {
-    RejectRequest(gateway, session, http_request, http::status::unauthorized,
+    RejectRequest(gateway, caller_exchange, http_request,
+                  http::status::unauthorized,
                   fleet::AccountResultName(decision.result));
     return std::nullopt;
   }
--- a/src/gateway/account_driver.h
+++ b/src/gateway/account_driver.h
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "edge/session.h"
+#include "edge/exchange.h"
 #include "gateway/account_admission_type.h"
 #include "gateway/gateway_type.h"
 
@@ -11,7 +11,7 @@
 // Finds the client account of a caller's request and removes the key from the
 // request. Returns nothing if the request was rejected.
 std::optional<AccountAdmission> AdmitAccount(Gateway& gateway,
-                                             edge::Session& session,
+                                             edge::Exchange& caller_exchange,
                                              edge::HttpRequest& http_request,
                                              const fleet::Route& route);
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/byte_counter_type.h"
 #include "base/rng_type.h"
 #include "datagram/channel.h"
 #include "dispatch/dispatcher_type.h"
@@ -103,14 +104,20 @@
   std::unordered_map<request::RequestNumber, std::unique_ptr<ActiveRequest>>
       requests;
   // Number of the active request on each caller connection.
-  std::unordered_map<const edge::Session*, request::RequestNumber>
-      requests_by_session;
+  std::unordered_map<const edge::Exchange*, request::RequestNumber>
+      requests_by_exchange;
   std::uint64_t next_request_number = 1;
   std::uint64_t next_attempt_id = 1;
   // Number of the request that each attempt belongs to, until the request ends.
   std::unordered_map<dispatch::AttemptId, request::RequestNumber>
       requests_by_attempt;
 
+  // Bytes that are buffered for callers and upstreams.
+  std::shared_ptr<base::ByteCounter> memory =
+      std::make_shared<base::ByteCounter>();
+  // Requests were refused at the last check because of buffered bytes.
+  bool has_memory_pressure = false;
+
   upstream::Pool upstream_pool;
   // Connections to the store and to the control addresses of other gateways.
   upstream::Pool control_pool;
--- a/src/gateway/rejection_driver.cc
+++ b/src/gateway/rejection_driver.cc
@@ -10,7 +10,7 @@
 namespace http = boost::beast::http;
 
 void RejectRequest(Gateway& gateway,
-                   edge::Session& session,
+                   edge::Exchange& caller_exchange,
                    const edge::HttpRequest& http_request,
                    http::status status,
                    const char* reason,
@@ -32,7 +32,7 @@
   metrics::IncrementCounter(
       gateway.metrics,
       std::string("rejected_total{reason=\"") + reason + "\"}");
-  session.Respond(std::move(response));
+  caller_exchange.Respond(std::move(response));
 }
 
 }  // namespace poplarfork::gateway
--- a/src/gateway/rejection_driver.h
+++ b/src/gateway/rejection_driver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/session.h"
+#include "edge/exchange.h"
 #include "gateway/gateway_type.h"
 
 namespace poplarfork::gateway {
@@ -13,7 +13,7 @@
 // Rejects a request before an upstream is chosen for it. `retry_after` is only
 // sent with the status 503.
 void RejectRequest(Gateway& gateway,
-                   edge::Session& session,
+                   edge::Exchange& caller_exchange,
                    const edge::HttpRequest& http_request,
                    boost::beast::http::status status,
                    const char* reason,
--- a/src/gateway/request_action_driver.cc
+++ b/src/gateway/request_action_driver.cc
@@ -49,7 +49,7 @@
   const auto found = gateway.requests.find(number);
   if (found == gateway.requests.end())
     return;
-  gateway.requests_by_session.erase(found->second->session.get());
+  gateway.requests_by_exchange.erase(found->second->caller_exchange.get());
   std::erase_if(gateway.requests_by_attempt,
                 [number](const auto& item) { return item.second == number; });
   gateway.requests.erase(found);
@@ -62,7 +62,7 @@
   const unsigned status = response.header.result_int();
   LogResponse(gateway, active_request, status,
               status < 400 ? "served" : "upstream_failure");
-  active_request.session->Respond(
+  active_request.caller_exchange->Respond(
       platform::MakeCallerResponse(response.header, std::move(response.body)));
 }
 
@@ -150,7 +150,7 @@
   edge::HttpResponse response = MakeFailureResponse(action);
   LogResponse(gateway, active_request, response.result_int(),
               FailureName(action.failure));
-  active_request.session->Respond(std::move(response));
+  active_request.caller_exchange->Respond(std::move(response));
 }
 
 }  // namespace
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -14,6 +14,7 @@
 #include "gateway/dispatch_driver.h"
 #include "gateway/hedge_metrics.h"
 #include "gateway/log_func.h"
+#include "gateway/memory_driver.h"
 #include "gateway/peer_driver.h"
 #include "gateway/rejection_driver.h"
 #include "gateway/request_action_driver.h"
@@ -36,6 +37,9 @@
 // The final response is sent this long before the caller's time ends, because
 // the caller stops waiting by its own clock.
 constexpr base::Duration kResponseMargin = std::chrono::milliseconds(20);
+// Value of the Retry-After field while the buffers are full. Responses to slow
+// callers are sent within seconds.
+constexpr base::Duration kMemoryPressureRetryAfter = std::chrono::seconds(1);
 
 ActiveRequest* FindActiveRequestByAttempt(Gateway& gateway,
                                           dispatch::AttemptId attempt) {
@@ -56,9 +60,9 @@
 }
 
 dispatch::RequestFingerprints ComputeFingerprints(
-    const edge::Session& session,
+    const edge::Exchange& caller_exchange,
     const edge::HttpRequest& http_request) {
-  const std::string& caller = session.CallerEndpoint();
+  const std::string& caller = caller_exchange.CallerEndpoint();
   return request::ComputeFingerprints(caller.substr(0, caller.rfind(':')),
                                       std::string(http_request.method_string()),
                                       std::string(http_request.target()),
@@ -77,11 +81,22 @@
 
 }  // namespace
 
+bool MayOverlap(const Gateway& gateway, const edge::HttpRequest& http_request) {
+  if (!gateway.configuration)
+    return false;
+  const auto host = http_request[http::field::host];
+  const auto target = http_request.target();
+  const fleet::Route* route =
+      fleet::FindRoute(*gateway.configuration, {host.data(), host.size()},
+                       {target.data(), target.size()});
+  return route && route->repeatable;
+}
+
 void OnCallerRequest(Gateway& gateway,
-                     const std::shared_ptr<edge::Session>& session,
+                     const std::shared_ptr<edge::Exchange>& caller_exchange,
                      edge::HttpRequest http_request) {
   if (!gateway.configuration) {
-    RejectRequest(gateway, *session, http_request,
+    RejectRequest(gateway, *caller_exchange, http_request,
                   http::status::service_unavailable, "no_configuration");
     return;
   }
@@ -91,11 +106,12 @@
       fleet::FindRoute(*gateway.configuration, {host.data(), host.size()},
                        {target.data(), target.size()});
   if (!route) {
-    RejectRequest(gateway, *session, http_request, http::status::not_found,
-                  "no_route");
+    RejectRequest(gateway, *caller_exchange, http_request,
+                  http::status::not_found, "no_route");
     return;
   }
-  const auto admission = AdmitAccount(gateway, *session, http_request, *route);
+  const auto admission =
+      AdmitAccount(gateway, *caller_exchange, http_request, *route);
   if (!admission)
     return;
   const base::TimePoint now = clock::Now();
@@ -105,16 +121,24 @@
       fields.time_left
           ? std::max(*fields.time_left - kResponseMargin, base::Duration(0))
           : route->timeout;
+  // The request may have waited for the responses before it.
+  const base::TimePoint received_at = caller_exchange->ReceivedAt();
   const base::TimePoint deadline =
-      now + std::min(route->timeout, caller_time_left);
+      received_at + std::min(route->timeout, caller_time_left);
   if (!CanFinishRequest(gateway, deadline)) {
-    RejectRequest(gateway, *session, http_request,
+    RejectRequest(gateway, *caller_exchange, http_request,
                   http::status::service_unavailable, "draining");
     return;
   }
+  if (!HasMemoryForRequest(gateway)) {
+    RejectRequest(gateway, *caller_exchange, http_request,
+                  http::status::service_unavailable, "memory_pressure",
+                  kMemoryPressureRetryAfter);
+    return;
+  }
   const RequestNumber number{gateway.next_request_number++};
   auto active_request = std::make_unique<ActiveRequest>();
-  active_request->session = session;
+  active_request->caller_exchange = caller_exchange;
   active_request->request_id = fields.request_id;
   active_request->route_name = route->name;
   active_request->configuration_version = gateway.configuration->version.value;
@@ -130,20 +154,20 @@
     arrival.account = admission->account->id;
   active_request->service_name = arrival.work_class.service.value;
   arrival.shard_slots = GetShardSlots(gateway, arrival.work_class.service);
-  arrival.fingerprints = ComputeFingerprints(*session, http_request);
+  arrival.fingerprints = ComputeFingerprints(*caller_exchange, http_request);
   if (dispatch::IsKnownToCrash(gateway.dispatcher, arrival.fingerprints, now)) {
-    RejectRequest(gateway, *session, http_request,
+    RejectRequest(gateway, *caller_exchange, http_request,
                   http::status::service_unavailable, "crashes_upstreams",
                   dispatch::kCrashingRetryAfter);
     return;
   }
-  arrival.late_at = now + route->latency_objective;
+  arrival.late_at = received_at + route->latency_objective;
   arrival.deadline = std::min(deadline, LatestResponseAt(gateway));
   arrival.max_attempts = route->max_attempts;
   active_request->http_request = std::move(http_request);
   ActiveRequest& started_request = *active_request;
   gateway.requests.emplace(number, std::move(active_request));
-  gateway.requests_by_session[session.get()] = number;
+  gateway.requests_by_exchange[caller_exchange.get()] = number;
   ExecuteRequestActions(
       gateway, number,
       request::BeginRequest(started_request.state, arrival,
@@ -158,9 +182,10 @@
   ArmRequestTimer(gateway, latest);
 }
 
-void OnCallerDisconnected(Gateway& gateway, const edge::Session& session) {
-  const auto found = gateway.requests_by_session.find(&session);
-  if (found == gateway.requests_by_session.end())
+void OnCallerDisconnected(Gateway& gateway,
+                          const edge::Exchange& caller_exchange) {
+  const auto found = gateway.requests_by_exchange.find(&caller_exchange);
+  if (found == gateway.requests_by_exchange.end())
     return;
   const RequestNumber number = found->second;
   ActiveRequest* active_request = FindActiveRequest(gateway, number);
--- a/src/gateway/settings_driver.cc
+++ b/src/gateway/settings_driver.cc
@@ -4,6 +4,7 @@
 
 #include "base/error_func.h"
 #include "gateway/log_func.h"
+#include "gateway/memory_driver.h"
 #include "gateway/settings_table.h"
 #include "settings/table_reader.h"
 
@@ -34,6 +35,16 @@
   dispatch_settings.floor_share = gateway.settings.floor_share;
 }
 
+// Copies the settings that concern the connections of callers to their server.
+void ApplyCallerSettings(Gateway& gateway) {
+  if (!gateway.front_server)
+    return;
+  edge::Limits limits = gateway.front_server->GetLimits();
+  limits.pipeline_limit =
+      static_cast<std::size_t>(gateway.settings.pipeline_limit);
+  gateway.front_server->SetLimits(limits);
+}
+
 }  // namespace
 
 base::Result<void> LoadSettings(Gateway& gateway, const std::string& path) {
@@ -65,9 +76,13 @@
   gateway.settings.floor_share = reloaded.floor_share;
   gateway.settings.key_revocation_limit = reloaded.key_revocation_limit;
   gateway.settings.strict_key_revocation = reloaded.strict_key_revocation;
+  gateway.settings.pipeline_limit = reloaded.pipeline_limit;
+  gateway.settings.memory_limit_mb = reloaded.memory_limit_mb;
   gateway.settings.seeds = reloaded.seeds;
   gateway.settings.store_address = reloaded.store_address;
   ApplyDispatchSettings(gateway);
+  ApplyCallerSettings(gateway);
+  ApplyMemoryLimit(gateway);
   Log(gateway, "reloaded",
       {{"cause", cause}, {"store_address", reloaded.store_address}});
 }
