Order the queue by account priority; share slots among accounts

The queue advanced a request by 60 ms per priority of its route. That is nothing for an objective of 12 s, ignored the priority of the client account, and let an account that sends many times its usual load fill the queue.

The advance is 7.5 % of the time that was left until the response is late, at least 60 ms, so that objectives up to 0.8 s keep it; the priority is that of the slot request. Among requests of one class of work and priority, an account that is granted more than usual gives way to one whose share of its usual grants is less than half, and a new request counts only those of other accounts as ahead of it that may be granted before its turn. Requests without an account keep their place and their admission.

A factor below two between the shares would hold back a surge more, but then gives the account less than a quarter of what the others get per request.

dispatch_fixture.h sets the priority of its slot requests to that of their class, as the gateways do.

--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/time_func.h"
+#include "dispatch/account_load_func.h"
 #include "dispatch/placement_func.h"
 
 namespace poplarfork::dispatch {
@@ -23,10 +25,12 @@
 // late.
 constexpr double kUnknownDurationShare = 0.4;
 
-// In the queue, a request counts as due this much earlier for each step by
-// which its priority is more urgent. Strict priorities would starve the less
-// urgent requests.
-constexpr base::Duration kPriorityAdvance = std::chrono::milliseconds(60);
+// In the queue, a request counts as due earlier by this share of the time in
+// which it is on time, for each step by which its priority is more urgent.
+// Strict priorities would starve the less urgent requests. The share gives 60
+// ms for an objective of 0.8 s, which is also the least.
+constexpr double kPriorityAdvanceShare = 0.075;
+constexpr base::Duration kMinPriorityAdvance = std::chrono::milliseconds(60);
 
 // Bounds of the time after which the caller of a refused request may try again.
 constexpr base::Duration kMinRetryAfter = std::chrono::milliseconds(100);
@@ -47,8 +51,53 @@
 constexpr double kRateSmoothingSeconds = 5;
 
 base::TimePoint QueueOrderKey(const QueuedRequest& queued_request) {
-  return queued_request.late_at +
-         kPriorityAdvance * queued_request.slot_request.work_class.priority;
+  const SlotRequest& slot_request = queued_request.slot_request;
+  const base::Duration advance =
+      std::max(base::Scale(slot_request.until_late, kPriorityAdvanceShare),
+               kMinPriorityAdvance);
+  return queued_request.late_at + advance * slot_request.priority;
+}
+
+bool CanBeOnTime(const ShardState& shard_state,
+                 const QueuedRequest& queued_request,
+                 base::TimePoint now) {
+  const base::Duration duration = MeanDuration(
+      shard_state, queued_request.slot_request.work_class, base::Duration(0));
+  return now + duration <= queued_request.late_at;
+}
+
+// Returns the index of the request that is served in place of the one at
+// `index`: the first one of the account that has been served least, among those
+// that may overtake it.
+std::size_t ChooseAccount(const ShardState& shard_state,
+                          std::size_t index,
+                          const std::set<base::DaemonId>& passed_over,
+                          base::TimePoint now) {
+  const QueuedRequest& first = shard_state.queue[index];
+  if (first.slot_request.account.value.empty())
+    return index;
+  const double first_share =
+      ServedShare(shard_state, first.slot_request.account, now);
+  // Usually nobody has to look at the rest of the queue.
+  if (!GivesWay(first_share, 0))
+    return index;
+  const bool first_is_on_time = CanBeOnTime(shard_state, first, now);
+  std::size_t chosen = index;
+  double least_share = first_share;
+  for (std::size_t i = index + 1; i < shard_state.queue.size(); ++i) {
+    const QueuedRequest& queued_request = shard_state.queue[i];
+    if (passed_over.contains(queued_request.daemon) ||
+        !IsSameRank(queued_request.slot_request, first.slot_request) ||
+        (first_is_on_time && !CanBeOnTime(shard_state, queued_request, now)))
+      continue;
+    const double share =
+        ServedShare(shard_state, queued_request.slot_request.account, now);
+    if (GivesWay(first_share, share) && share < least_share) {
+      chosen = i;
+      least_share = share;
+    }
+  }
+  return chosen;
 }
 
 base::Duration ExpectedWait(const ShardState& shard_state, std::size_t ahead) {
@@ -87,7 +136,9 @@
 
 }  // namespace
 
-bool MayQueue(const ShardState& shard_state, const SlotRequest& slot_request) {
+bool MayQueue(const ShardState& shard_state,
+              const SlotRequest& slot_request,
+              base::TimePoint now) {
   if (shard_state.queue.size() >= kMaxQueuedRequests)
     return false;
   const auto unknown_duration = base::Duration(static_cast<std::int64_t>(
@@ -98,7 +149,7 @@
   const auto duration_with_margin = base::Duration(static_cast<std::int64_t>(
       kDurationMargin * static_cast<double>(duration.count())));
   const base::Duration wait =
-      ExpectedWait(shard_state, shard_state.queue.size());
+      ExpectedWait(shard_state, CountAhead(shard_state, slot_request, now));
   if (wait == base::Duration::max())
     return false;
   // A request that has been granted an upstream before has already been held
@@ -139,12 +190,10 @@
     if (passed_over.contains(queued_request.daemon))
       continue;
     first = first.value_or(i);
-    const base::Duration duration = MeanDuration(
-        shard_state, queued_request.slot_request.work_class, base::Duration(0));
-    if (now + duration <= queued_request.late_at)
-      return i;
+    if (CanBeOnTime(shard_state, queued_request, now))
+      return ChooseAccount(shard_state, i, passed_over, now);
   }
-  return first;
+  return first ? ChooseAccount(shard_state, *first, passed_over, now) : first;
 }
 
 bool TryTakeRetryToken(const Settings& settings,
--- a/src/dispatch/admission_func.h
+++ b/src/dispatch/admission_func.h
@@ -12,7 +12,9 @@
 // healthy upstreams: if requests wait longer than their callers do, every
 // response is late, while refusing the excess at once keeps the remaining
 // requests on time.
-bool MayQueue(const ShardState& shard_state, const SlotRequest& slot_request);
+bool MayQueue(const ShardState& shard_state,
+              const SlotRequest& slot_request,
+              base::TimePoint now);
 
 // Returns the time after which a slot is expected to be free for a refused
 // request. `jitter`, a random number from 0 to 1, spreads the returning
@@ -26,7 +28,8 @@
 // Returns the index of the queued request to serve next: the first one that can
 // still complete on time, or the first one if none can. The requests of the
 // daemons in `passed_over` are left out; returns nothing if there are no
-// others.
+// others. In place of a request whose account has been served far more than
+// that of another one comes the request of the latter, see account_load_func.h.
 std::optional<std::size_t> NextQueuedIndex(
     const ShardState& shard_state,
     const std::set<base::DaemonId>& passed_over,
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -147,7 +147,7 @@
     GiveBackAccountToken(dispatcher, slot_request);
     return actions;
   }
-  if (!MayQueue(shard_state, slot_request)) {
+  if (!MayQueue(shard_state, slot_request, now)) {
     GiveBackAccountToken(dispatcher, slot_request);
     CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -9,6 +9,7 @@
 
 #include "allowance/balances_type.h"
 #include "base/time_type.h"
+#include "dispatch/account_load_type.h"
 #include "dispatch/crash_record_type.h"
 #include "dispatch/handover_type.h"
 #include "dispatch/message_type.h"
@@ -87,6 +88,10 @@
   std::map<WorkClass, DurationStats> duration_stats;
   RetryBudget retry_budget;
   LossStats loss_stats;
+  // Grants of the accounts that have been served lately, see
+  // account_load_func.h.
+  std::unordered_map<base::AccountId, AccountLoad> account_loads;
+  base::TimePoint account_loads_swept_at{};
   // Time of the last slot request for this shard.
   base::TimePoint last_slot_request_at{};
   // Share of the service's limits that applies to the upstreams of this shard.
--- a/src/dispatch/queue_func.cc
+++ b/src/dispatch/queue_func.cc
@@ -7,6 +7,7 @@
 #include "base/rng_func.h"
 #include "base/time_func.h"
 #include "dispatch/account_limit_func.h"
+#include "dispatch/account_load_func.h"
 #include "dispatch/admission_func.h"
 #include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
@@ -44,6 +45,7 @@
   const RunningAttempt& attempt = AddRunningAttempt(
       dispatcher, shard_state, placement, daemon, slot_request, waited, now);
   const UpstreamState& upstream = *placement.upstream;
+  CountAccountGrant(shard_state, slot_request, now);
   if (!slot_request.is_retry) {
     CountFirstAttempt(dispatcher.settings, shard_state, now);
     CountPlaced(shard_state.loss_stats, placement.for_coverage, now);
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -43,6 +43,7 @@
     SlotRequest slot_request;
     slot_request.attempt_id = {this->next_attempt_id++};
     slot_request.work_class = {kService, repeatable, repeatable ? 2U : 1U};
+    slot_request.priority = slot_request.work_class.priority;
     slot_request.until_late = milliseconds(800);
     slot_request.until_deadline = milliseconds(2000);
     slot_request.fingerprints.call = {slot_request.attempt_id.value};
