--- a/tests/dispatch/account_limit_test.cc
+++ b/tests/dispatch/account_limit_test.cc
@@ -63,7 +63,9 @@
   BOOST_TEST(this->RequestSlot("d", retry));
   SlotRequest hedge = this->MakeRequest();
   hedge.is_hedge = true;
-  BOOST_TEST(this->RequestSlot("d", hedge));
+  // The hedge is refused, because the settings allow none.
+  BOOST_TEST(!this->RequestSlot("d", hedge));
+  BOOST_TEST(!this->IsOverAllowance());
   SlotRequest other_upstream = this->MakeRequest();
   other_upstream.was_granted = true;
   BOOST_TEST(this->RequestSlot("d", other_upstream));
