Compare revisions by era and survive a restore of the store

Cause: the store may return from a copy that is some seconds old. Revisions and lease ids are then issued again. A gateway that started afterwards used an older configuration and upstreams that had left; an upstream that the copy lacked was never removed if it did not come back; a lease whose id belonged to another client was renewed for ever, so that the gateway was not registered.

Change: the header Store-Era of every answer goes into the upper 16 bits of StoreRevision; platform/store_era_func composes revisions and takes them apart. A later era, from the store or from another gateway, makes a gateway register again with a new lease, list the store, and defer the removal of what the copy lacks for 2.2 s. Answers and lists of earlier eras are ignored. An upstream that left in an earlier era is withheld until it has written itself again, which fleet/store_restore_func decides from birth, sequence and revision. Gateways that read the restored store without knowing who had left ask for withheld upstreams, and are told when they name one as present. A gateway that starts in a later era accepts requests when another one has confirmed its configuration, at the latest after 1.5 s, and readers take a later configuration from members' hellos. The stand-in keeps and restores a copy, states the era in all answers, and sends repeated headers as they are given. The platform's name Store-Era is added to tools/check_platform_names.sh.

Found by the test over orders of events, also without restores: a removal read from a watch undid a later write that another gateway had announced, and a second removal at the same revision hid the write right after it. Both are now ignored. The deferred removal of an upstream that a list lacks has the revision after the list, so that gateways need not receive the whole list again in the meantime.

--- a/src/datagram/codec_func.cc
+++ b/src/datagram/codec_func.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 #include "base/error_func.h"
@@ -40,6 +41,8 @@
   body.set_store_stale(hello.store_stale);
   body.set_listed_to(hello.list_received_up_to.value);
   body.set_without_records(hello.without_records);
+  body.set_era(static_cast<std::uint32_t>(hello.era.value));
+  body.set_wants_withheld(hello.wants_withheld);
 }
 
 void EncodeMemberRecord(proto::FleetMember& body,
@@ -71,6 +74,8 @@
   body.set_incarnation(entry.incarnation.value);
   body.set_changed(record.change_revision.value);
   body.set_removed(record.removed);
+  body.set_sequence(entry.sequence);
+  body.set_restored(record.restored);
 }
 
 std::uint32_t ToMilliseconds(base::Duration duration) {
@@ -100,6 +105,7 @@
   body.set_is_full(update.is_full_list);
   body.set_more(update.more);
   body.set_since(update.since.value);
+  body.set_era(static_cast<std::uint32_t>(update.era.value));
   if (update.read_age)
     // Rounded up, so that it is never zero and a view never seems more current
     // than it is.
@@ -235,6 +241,12 @@
   return per_second;
 }
 
+// Eras have 16 bits. Larger numbers are malformed and count as the first era,
+// which changes nothing.
+fleet::StoreEra DecodeEra(std::uint32_t era) {
+  return {era <= std::numeric_limits<std::uint16_t>::max() ? era : 0};
+}
+
 Message DecodeBody(const proto::FleetHello& body) {
   Hello hello;
   hello.as_of = {body.as_of()};
@@ -243,6 +255,8 @@
   hello.store_stale = body.store_stale();
   hello.list_received_up_to = {body.listed_to()};
   hello.without_records = body.without_records();
+  hello.era = DecodeEra(body.era());
+  hello.wants_withheld = body.wants_withheld();
   return hello;
 }
 
@@ -272,8 +286,10 @@
                                        : fleet::UpstreamPhase::kReady;
   record.entry.cold_until = now + std::chrono::milliseconds(body.cold_ms());
   record.entry.incarnation = {body.incarnation()};
+  record.entry.sequence = body.sequence();
   record.change_revision = {body.changed()};
   record.removed = body.removed();
+  record.restored = body.restored();
   record.learned_at = now;
   return record;
 }
@@ -296,6 +312,7 @@
   update.is_full_list = body.is_full();
   update.more = body.more();
   update.since = {body.since()};
+  update.era = DecodeEra(body.era());
   if (body.read_age_ms() > 0)
     update.read_age = std::chrono::milliseconds(body.read_age_ms());
   return update;
--- a/src/datagram/message_type.h
+++ b/src/datagram/message_type.h
@@ -25,6 +25,10 @@
   fleet::StoreRevision list_received_up_to;
   // The reader should send no records because another reader sends them.
   bool without_records = false;
+  // Era of the store that the daemon knows of.
+  fleet::StoreEra era;
+  // The reader should send the upstreams that are withheld from requests.
+  bool wants_withheld = false;
 };
 
 // A reader of the store sends the records that the receiver does not know yet,
@@ -56,6 +60,8 @@
   // if `has_unavailable` is set.
   std::vector<base::DaemonId> unavailable;
   bool has_unavailable = false;
+  // Era of the store that the sender knows of.
+  fleet::StoreEra era;
 };
 
 using Message = std::variant<Hello,
--- a/src/fleet/list_batch_func.cc
+++ b/src/fleet/list_batch_func.cc
@@ -65,8 +65,9 @@
     if (!record.removed)
       transfer.members.insert(record.member.id);
   }
+  // The store holds the entries of withheld upstreams.
   for (const UpstreamRecord& record : batch.upstreams) {
-    if (!record.removed)
+    if (!record.removed || record.restored)
       transfer.upstreams.insert(record.entry.id);
   }
   return batch.more ? BatchResult::kApplied : BatchResult::kCompleted;
--- a/src/fleet/view_func.cc
+++ b/src/fleet/view_func.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/hash_func.h"
+#include "fleet/store_restore_func.h"
 
 namespace poplarfork::fleet {
 
@@ -61,6 +62,36 @@
                                       std::pow(capacity, kCapacityExponent));
 }
 
+// Replaces the known record by a later one. Returns whether anything other than
+// the revision changes.
+bool ReplaceRecord(const View& view,
+                   UpstreamRecord& known,
+                   UpstreamRecord record) {
+  const bool is_same =
+      known.removed == record.removed && IsSameEntry(known.entry, record.entry);
+  record.earlier_revision =
+      IsFromEarlierEra(view, known.change_revision) &&
+              !IsFromEarlierEra(view, record.change_revision)
+          ? known.change_revision
+          : known.earlier_revision;
+  const UpstreamEntry last = record.entry;
+  // A removal may come without the entry, apart from what identifies the last
+  // write.
+  if (record.removed) {
+    record.entry = known.entry;
+    if (last.incarnation.value != 0)
+      record.entry.incarnation = last.incarnation;
+    record.entry.sequence = last.sequence;
+  }
+  // Another daemon that does not read the store knows of no heartbeats.
+  const bool is_sequence_known = !record.removed || last.sequence > 0;
+  if (is_sequence_known && record.entry.incarnation == known.entry.incarnation)
+    record.entry.sequence =
+        std::max(record.entry.sequence, known.entry.sequence);
+  known = std::move(record);
+  return !is_same;
+}
+
 }  // namespace
 
 double ClampCapacity(double capacity) {
@@ -81,14 +112,22 @@
   UpstreamRecord& known = place->second;
   if (added)
     return true;
-  if (record.change_revision <= known.change_revision)
-    return false;
-  const bool is_same =
-      known.removed == record.removed && IsSameEntry(known.entry, record.entry);
-  if (record.removed)
-    record.entry = known.entry;
-  known = std::move(record);
-  return !is_same;
+  switch (JudgeRecord(view, known, record)) {
+    case RecordVerdict::kApplied:
+      return ReplaceRecord(view, known, std::move(record));
+    case RecordVerdict::kKept:
+      KeepKnown(view, known, record);
+      return false;
+    case RecordVerdict::kWithheld:
+      Withhold(known, record);
+      return true;
+    case RecordVerdict::kIgnored:
+      break;
+  }
+  if (record.removed && known.removed &&
+      record.change_revision == known.change_revision)
+    MergeLastEntry(known, record);
+  return false;
 }
 
 bool MergeMember(View& view, MemberRecord record) {
@@ -116,11 +155,15 @@
     base::TimePoint now) {
   AbsentRecords absent;
   for (const auto& [id, record] : view.upstreams) {
-    if (record.removed || record.change_revision > as_of ||
+    const bool is_gone = record.removed && !record.restored;
+    if (is_gone || record.change_revision > as_of ||
         listed_upstreams.contains(id))
       continue;
     UpstreamRecord removal = record;
     removal.removed = true;
+    removal.restored = false;
+    // The last entry has not been read, so its sequence is not known.
+    removal.entry.sequence = 0;
     removal.change_revision = as_of;
     removal.learned_at = now;
     absent.upstreams.push_back(std::move(removal));
@@ -143,7 +186,10 @@
     return item.second.removed &&
            now - item.second.learned_at > kRemovalLifetime;
   };
-  std::erase_if(view.upstreams, is_expired);
+  // A withheld upstream is remembered as long as the store holds its entry.
+  std::erase_if(view.upstreams, [&is_expired](const auto& item) {
+    return is_expired(item) && !IsWithheld(item.second);
+  });
   std::erase_if(view.members, is_expired);
   std::erase_if(view.unavailable_reports, [now](const auto& item) {
     return now - item.second.received_at > kMaxReportAge;
--- a/src/fleet/view_type.h
+++ b/src/fleet/view_type.h
@@ -15,6 +15,9 @@
   std::map<base::DaemonId, MemberRecord> members;
   // All changes up to this revision are known.
   StoreRevision as_of;
+  // Revisions before this one belong to earlier eras of the store; zero in the
+  // first era.
+  StoreRevision era_start;
   // Removals before this revision have been forgotten. Daemons whose `as_of` is
   // older need the complete list.
   StoreRevision removals_known_since;
--- a/src/gateway/peer_driver.cc
+++ b/src/gateway/peer_driver.cc
@@ -8,6 +8,7 @@
 #include "base/rng_func.h"
 #include "clock/now_func.h"
 #include "fleet/freshness_func.h"
+#include "fleet/store_restore_func.h"
 #include "fleet/view_func.h"
 #include "gateway/configuration_driver.h"
 #include "gateway/crash_sharing_driver.h"
@@ -16,6 +17,7 @@
 #include "gateway/registration.h"
 #include "gateway/request_driver.h"
 #include "gateway/store_driver.h"
+#include "gateway/store_era_driver.h"
 #include "gateway/view_update_driver.h"
 #include "metrics/registry_func.h"
 
@@ -62,6 +64,7 @@
              const base::DaemonId& from,
              const datagram::Hello& hello) {
   const base::TimePoint now = clock::Now();
+  NoticeEra(gateway, hello.era, from.value);
   if (!IsReader(gateway, now))
     gateway.store.reader_since = now;
   gateway.store.last_asked_at = now;
@@ -75,6 +78,9 @@
   }
   if (hello.as_of.value == 0)
     SendCrashRecords(gateway, from);
+  // A restored store may hold an older configuration than the members.
+  if (gateway.store.era.value > 0)
+    OnConfigurationAnnounced(gateway, from, hello.configuration_version);
   ReplyToHello(gateway, from, hello,
                is_unknown && gateway.view.as_of.value > 0);
 }
@@ -189,12 +195,14 @@
 }
 
 bool IsAccepting(const Gateway& gateway) {
-  return gateway.configuration && gateway.dispatcher.ready && !gateway.draining;
+  return gateway.configuration && gateway.dispatcher.ready &&
+         !gateway.draining && !AwaitsPeers(gateway, clock::Now());
 }
 
 bool IsStoreStale(const Gateway& gateway, base::TimePoint now) {
   const StoreClientState& store = gateway.store;
   return store.failing || gateway.view.as_of.value == 0 ||
+         fleet::IsFromEarlierEra(gateway.view, gateway.view.as_of) ||
          (store.is_reading && now - store.last_success > kStoreStaleTime);
 }
 
@@ -220,6 +228,8 @@
   hello.store_stale = IsStoreStale(gateway, now);
   hello.list_received_up_to = gateway.list_progress.transfer.received_up_to;
   hello.without_records = !RequestsRecordsFrom(gateway, to, now);
+  hello.era = gateway.store.era;
+  hello.wants_withheld = now < gateway.store.asks_withheld_until;
   SendToDaemon(gateway, to, hello);
 }
 
--- a/src/gateway/registration.cc
+++ b/src/gateway/registration.cc
@@ -52,11 +52,15 @@
   WriteStore(
       gateway,
       platform::MakePutRequest(key, EncodeMember(member), gateway.store.lease),
-      [&gateway, member](const StoreResponse& response) {
-        const auto revision = platform::ParseRevision(response.body);
+      [&gateway, member,
+       lease = gateway.store.lease](const StoreResponse& response) {
+        if (lease != gateway.store.lease)
+          return;
+        const auto revision =
+            platform::ParseRevision(response.body, response.era);
         if (response.status == 404)
           gateway.store.lease = {};
-        if (response.status != 200 || !revision) {
+        if (response.status != 200 || !revision || response.is_late) {
           ScheduleRegistrationStep(gateway, RandomStoreRetryDelay(gateway));
           return;
         }
@@ -78,11 +82,15 @@
   WriteStore(gateway, platform::MakeGrantLeaseRequest(kLeaseTtl),
              [&gateway](const StoreResponse& response) {
                const auto lease = platform::ParseLeaseId(response.body);
-               if (response.status != 200 || !lease) {
+               // Another call, begun when a new era was noticed, was faster.
+               if (gateway.store.lease.value != 0)
+                 return;
+               if (response.status != 200 || !lease || response.is_late) {
                  ScheduleRegistrationStep(gateway,
                                           RandomStoreRetryDelay(gateway));
                  return;
                }
+               gateway.registration_timer.cancel();
                gateway.store.lease = lease.value();
                WriteMember(gateway);
              });
@@ -91,8 +99,10 @@
 void RenewLease(Gateway& gateway) {
   WriteStore(
       gateway, platform::MakeRenewLeaseRequest(gateway.store.lease),
-      [&gateway](const StoreResponse& response) {
-        if (response.status == 404) {
+      [&gateway, lease = gateway.store.lease](const StoreResponse& response) {
+        if (lease != gateway.store.lease)
+          return;
+        if (response.status == 404 && !response.is_late) {
           Log(gateway, "lease_lost", {{"lease", gateway.store.lease.value}});
           gateway.store.lease = {};
           gateway.store.registered = false;
@@ -144,6 +154,13 @@
   ScheduleRegistrationStep(gateway, base::Duration(0));
 }
 
+void RestartRegistrationInNewEra(Gateway& gateway) {
+  gateway.store.lease = {};
+  gateway.store.registered = false;
+  if (!gateway.draining)
+    ScheduleRegistrationStep(gateway, base::Duration(0));
+}
+
 void Unregister(Gateway& gateway) {
   gateway.registration_timer.cancel();
   if (gateway.store.lease.value == 0)
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -12,6 +12,11 @@
 // more, unless the last registration is too recent or the daemon drains.
 void RestartRegistration(Gateway& gateway);
 
+// Gives up the lease and registers this daemon at once, because the store is in
+// a new era. The id of the lease may then belong to another client, so it is
+// neither renewed nor revoked.
+void RestartRegistrationInNewEra(Gateway& gateway);
+
 // Stops renewing the lease and revokes it, which removes the member entry of
 // this daemon from the store. Called before the process ends.
 void Unregister(Gateway& gateway);
--- a/src/gateway/store_call.cc
+++ b/src/gateway/store_call.cc
@@ -10,7 +10,9 @@
 #include "fleet/answer_time_func.h"
 #include "fleet/freshness_func.h"
 #include "gateway/log_func.h"
+#include "gateway/store_era_driver.h"
 #include "metrics/registry_func.h"
+#include "platform/store_era_func.h"
 #include "upstream/pool_func.h"
 #include "upstream/whole_call.h"
 
@@ -134,6 +136,22 @@
     RecordAvailable(gateway, now);
 }
 
+// Records which era the response belongs to: the one that it states, or the
+// present one if it states none.
+void ApplyStatedEra(Gateway& gateway,
+                    StoreResponse& response,
+                    const upstream::HttpHeader& header) {
+  const platform::StatedEra stated = platform::ParseStoreEra(header);
+  if (stated.is_unreadable)
+    metrics::IncrementCounter(gateway.metrics, "store_eras_unreadable_total");
+  if (stated.era)
+    NoticeEra(gateway, *stated.era, "store");
+  response.era = stated.era.value_or(gateway.store.era);
+  response.is_late = response.era < gateway.store.era;
+  if (response.is_late)
+    metrics::IncrementCounter(gateway.metrics, "store_late_answers_total");
+}
+
 // Sends one call. `options` says how long to wait for the answer; the store may
 // hold the call open for `max_wait`.
 void CallStore(Gateway& gateway,
@@ -159,6 +177,7 @@
                               clock::Now() - started_at, max_wait);
         }
         UpdateStoreStatus(gateway, store_response, response.end, started_at);
+        ApplyStatedEra(gateway, store_response, response.header);
         on_end(store_response);
       });
 }
--- a/src/gateway/store_call.h
+++ b/src/gateway/store_call.h
@@ -18,6 +18,11 @@
   // Only the connection was lost; nothing is known about the store. The call
   // may be made again at once and then gets a new connection.
   bool is_connection_lost = false;
+  // Era of the store that the revisions in the body belong to.
+  fleet::StoreEra era;
+  // The response states an era before the present one: it was sent before the
+  // store was restored.
+  bool is_late = false;
 };
 
 // Sends one call that reads from the store and passes the result to `on_end`.
--- a/src/gateway/store_client_state_type.h
+++ b/src/gateway/store_client_state_type.h
@@ -30,6 +30,20 @@
   // When the last time ended in which the store may have been unavailable for
   // long enough that entries expired; zero if there was none.
   base::TimePoint recovered_at{};
+  // Latest era of the store that this daemon knows of, from the store itself or
+  // from another daemon.
+  fleet::StoreEra era;
+  // When the store is listed again after a restore, to see which upstreams and
+  // members have written themselves again; zero if there is nothing to see.
+  base::TimePoint relist_due_at{};
+  // Until this time this daemon asks the store readers which upstreams are
+  // withheld from requests, because it may have read the restored store without
+  // knowing who had left before.
+  base::TimePoint asks_withheld_until{};
+  // This daemon has started after a restore of the store. Until then it accepts
+  // no requests, unless another daemon tells it before that its configuration
+  // is the latest.
+  base::TimePoint awaits_peers_until{};
   // When another daemon last sent a Hello, by which it asks this daemon to be
   // its store reader.
   base::TimePoint last_asked_at{};
@@ -50,7 +64,6 @@
   platform::LeaseId lease;
   // The member entry has been written under the lease.
   bool registered = false;
-  bool registering = false;
   base::TimePoint registered_at{};
 };
 
--- a/src/gateway/store_listing.cc
+++ b/src/gateway/store_listing.cc
@@ -15,6 +15,8 @@
 struct ListingInProgress {
   Listing listing;
   std::function<void(const Listing*)> on_end;
+  // Era of the first page.
+  fleet::StoreEra era;
 };
 
 using ListingInProgressPtr = std::shared_ptr<ListingInProgress>;
@@ -25,8 +27,12 @@
                     const ListingInProgressPtr& progress,
                     const StoreResponse& response) {
   Listing& listing = progress->listing;
-  auto page = platform::ParseItems(response.body);
-  if (response.status != 200 || !page) {
+  auto page = platform::ParseItems(response.body, response.era);
+  if (listing.items.empty())
+    progress->era = response.era;
+  // Pages of two eras are no list of either.
+  const bool is_usable = !response.is_late && response.era == progress->era;
+  if (response.status != 200 || !page || !is_usable) {
     progress->on_end(nullptr);
     return;
   }
--- a/src/gateway/view_update_driver.cc
+++ b/src/gateway/view_update_driver.cc
@@ -6,12 +6,14 @@
 #include "clock/now_func.h"
 #include "fleet/freshness_func.h"
 #include "fleet/list_batch_func.h"
+#include "fleet/store_restore_func.h"
 #include "fleet/view_func.h"
 #include "gateway/configuration_driver.h"
 #include "gateway/dispatch_driver.h"
 #include "gateway/peer_driver.h"
 #include "gateway/registration.h"
 #include "gateway/store_driver.h"
+#include "gateway/store_era_driver.h"
 
 namespace poplarfork::gateway {
 
@@ -62,6 +64,7 @@
   update.store_stale = IsStoreStale(gateway, now);
   if (gateway.freshness.confirmed_at != base::TimePoint{})
     update.read_age = now - gateway.freshness.confirmed_at;
+  update.era = gateway.store.era;
   return update;
 }
 
@@ -95,14 +98,56 @@
   }
 }
 
-// Merges the records of one datagram into the view.
-void MergeViewUpdate(Gateway& gateway, const datagram::ViewUpdate& update) {
+// Sends records to one daemon without a revision, so that they do not complete
+// the receiver's view.
+void SendRecords(Gateway& gateway,
+                 const base::DaemonId& to,
+                 const std::vector<fleet::UpstreamRecord>& upstreams,
+                 base::TimePoint now) {
+  if (!upstreams.empty())
+    SendViewUpdate(gateway, to, MakeEmptyUpdate(gateway, now),
+                   {{}, {}, false, {}, upstreams});
+}
+
+// Tells the other daemons of upstreams whose earlier removal this daemon has
+// just learned of. The revision is raised so that daemons that miss the
+// announcement get the record with the reply to their next Hello.
+void AnnounceWithheld(Gateway& gateway,
+                      const std::vector<base::UpstreamId>& ids) {
+  std::vector<fleet::UpstreamRecord> records;
+  for (const base::UpstreamId& id : ids) {
+    fleet::UpstreamRecord& record = gateway.view.upstreams.at(id);
+    record.change_revision =
+        std::max(record.change_revision, {gateway.view.as_of.value + 1});
+    records.push_back(record);
+  }
+  AnnounceUpstreams(gateway, records);
+}
+
+// Merges the records of one datagram into the view. Tells the sender of the
+// removals that it has missed.
+void MergeViewUpdate(Gateway& gateway,
+                     const base::DaemonId& from,
+                     const datagram::ViewUpdate& update,
+                     base::TimePoint now) {
   for (const fleet::MemberRecord& record : update.members) {
     if (fleet::MergeMember(gateway.view, record))
       LogMember(gateway, record, "peer");
   }
-  for (const fleet::UpstreamRecord& record : update.upstreams)
-    ApplyUpstreamRecord(gateway, record, "peer");
+  std::vector<base::UpstreamId> newly_withheld;
+  std::vector<fleet::UpstreamRecord> missed_removals;
+  for (const fleet::UpstreamRecord& record : update.upstreams) {
+    const bool has_changed = ApplyUpstreamRecord(gateway, record, "peer");
+    const fleet::UpstreamRecord& known =
+        gateway.view.upstreams.at(record.entry.id);
+    if (has_changed && fleet::IsWithheld(known))
+      newly_withheld.push_back(record.entry.id);
+    if (fleet::IsUnawareOfRemoval(gateway.view, record))
+      missed_removals.push_back(known);
+  }
+  if (gateway.store.is_reading && !newly_withheld.empty())
+    AnnounceWithheld(gateway, newly_withheld);
+  SendRecords(gateway, from, missed_removals, now);
 }
 
 // Returns the revision up to which the sent records are complete. It is
@@ -126,13 +171,31 @@
   const fleet::ListTransfer& transfer = gateway.list_progress.transfer;
   const fleet::AbsentRecords absent = fleet::FindAbsentRecords(
       gateway.view, transfer.upstreams, transfer.members, as_of, now);
-  for (const fleet::UpstreamRecord& record : absent.upstreams)
-    ApplyUpstreamRecord(gateway, record, "absent from the list");
+  // The store reader may have started after a restore and not know what the
+  // copy lacks. The list is requested again until that has had time to write
+  // itself again.
+  const bool is_conclusive = now >= gateway.store.relist_due_at;
+  const auto is_undecided = [&gateway, is_conclusive](const auto& known) {
+    return !is_conclusive &&
+           fleet::IsFromEarlierEra(gateway.view, known.change_revision);
+  };
+  bool is_complete = true;
+  for (const fleet::UpstreamRecord& record : absent.upstreams) {
+    if (is_undecided(gateway.view.upstreams.at(record.entry.id)))
+      is_complete = false;
+    else
+      ApplyUpstreamRecord(gateway, record, "absent from the list");
+  }
   for (const fleet::MemberRecord& record : absent.members) {
-    if (record.member.id != gateway.view.self &&
-        fleet::MergeMember(gateway.view, record))
+    if (record.member.id == gateway.view.self)
+      continue;
+    if (is_undecided(gateway.view.members.at(record.member.id)))
+      is_complete = false;
+    else if (fleet::MergeMember(gateway.view, record))
       LogMember(gateway, record, "absent from the list");
   }
+  if (!is_complete)
+    return;
   gateway.view.removals_known_since = as_of;
   gateway.view.as_of = as_of;
 }
@@ -240,7 +303,11 @@
   update.has_unavailable = CanReportUnavailable(gateway, now);
   if (update.has_unavailable)
     update.unavailable = FindUnavailableMembers(gateway, now);
-  if (hello.without_records) {
+  if (hello.wants_withheld)
+    SendRecords(gateway, to, fleet::WithheldRecords(gateway.view), now);
+  // Until this daemon has listed a restored store, its view completes no other.
+  if (hello.without_records ||
+      fleet::IsFromEarlierEra(gateway.view, gateway.view.as_of)) {
     SendViewUpdate(gateway, to, update, {});
     return;
   }
@@ -260,11 +327,13 @@
                   const datagram::ViewUpdate& update) {
   const base::TimePoint now = clock::Now();
   gateway.last_update_at[from] = now;
+  NoticeEra(gateway, update.era, from.value);
+  const bool is_present_era = update.era == gateway.store.era;
   const auto member = gateway.view.members.find(from);
   if (member != gateway.view.members.end())
     member->second.store_stale = update.store_stale;
-  MergeViewUpdate(gateway, update);
-  if (update.part_count > 0)
+  MergeViewUpdate(gateway, from, update, now);
+  if (update.part_count > 0 && is_present_era)
     AssembleViewUpdate(gateway, from, update, now);
   if (update.has_unavailable)
     gateway.view.unavailable_reports[from] = {
@@ -272,12 +341,15 @@
   if (update.unknown_member)
     RestartRegistration(gateway);
   OnConfigurationAnnounced(gateway, from, update.configuration_version);
-  const bool is_complete =
-      update.part_count > 0 && !update.more &&
-      gateway.view.as_of >= update.as_of &&
+  const bool has_configuration =
       HasConfiguration(gateway, update.configuration_version);
-  if (update.read_age && is_complete)
+  const bool is_complete = update.part_count > 0 && !update.more &&
+                           is_present_era && gateway.view.as_of >= update.as_of;
+  if (update.read_age && is_complete && has_configuration)
     fleet::ConfirmView(gateway.freshness, now - *update.read_age);
+  if (is_present_era && has_configuration &&
+      update.configuration_version.value > 0)
+    EndAwaitingPeers(gateway);
 }
 
 bool IsReceivingList(const Gateway& gateway) {
--- a/src/standin/http_server_func.cc
+++ b/src/standin/http_server_func.cc
@@ -225,7 +225,7 @@
   http_response.result(response.status);
   http_response.set(http::field::content_type, response.content_type);
   for (const ResponseHeader& header : response.headers)
-    http_response.set(header.name, header.value);
+    http_response.insert(header.name, header.value);
   http_response.keep_alive(connection->head.keep_alive());
   http_response.body() = response.body;
   http_response.prepare_payload();
--- a/src/standin/platform_store_func.cc
+++ b/src/standin/platform_store_func.cc
@@ -50,12 +50,15 @@
           {"lease", item.lease_id}};
 }
 
-void SendJson(const HttpConnectionPtr& connection,
+void SendJson(const PlatformStore& store,
+              const HttpConnectionPtr& connection,
               unsigned status,
               const Json& body) {
   Response response;
   response.status = status;
   response.body = body.dump();
+  for (const std::string& era : store.era_fields)
+    response.headers.push_back({"Store-Era", era});
   SendResponse(connection, response);
 }
 
@@ -84,7 +87,7 @@
   }
   if (events.empty())
     return false;
-  SendJson(watch.connection, 200,
+  SendJson(store, watch.connection, 200,
            {{"events", events}, {"asOf", store.revision}});
   return true;
 }
@@ -103,12 +106,12 @@
 void HandleKeyRead(PlatformStore& store, const HttpConnectionPtr& connection) {
   const auto found = store.items.find(DecodedQueryValue(*connection, "key"));
   if (found == store.items.end()) {
-    SendJson(connection, 404, Json::object());
+    SendJson(store, connection, 404, Json::object());
     return;
   }
   Json body = ItemToJson(found->second);
   body["asOf"] = store.revision;
-  SendJson(connection, 200, body);
+  SendJson(store, connection, 200, body);
 }
 
 void HandleRangeRead(PlatformStore& store,
@@ -126,7 +129,7 @@
     }
     items.push_back(ItemToJson(item));
   }
-  SendJson(connection, 200,
+  SendJson(store, connection, 200,
            {{"items", items},
             {"morePages", has_more_pages},
             {"asOf", store.revision}});
@@ -138,8 +141,9 @@
   watch.connection = connection;
   watch.prefix = DecodedQueryValue(*connection, "pathPrefix");
   watch.after_revision = std::stoull(DecodedQueryValue(*connection, "after"));
-  if (watch.after_revision < store->compacted_revision) {
-    SendJson(connection, 410, Json::object());
+  if (watch.after_revision < store->compacted_revision ||
+      watch.after_revision > store->revision) {
+    SendJson(*store, connection, 410, Json::object());
     return;
   }
   if (SendEventsIfAny(*store, watch))
@@ -156,7 +160,7 @@
           return open_watch.connection == connection;
         });
     if (removed_count > 0)
-      SendJson(connection, 200,
+      SendJson(*store, connection, 200,
                {{"events", Json::array()}, {"asOf", store->revision}});
   });
   store->watches.push_back(std::move(watch));
@@ -223,7 +227,7 @@
   ++store->call_counts[path];
   if (store->mode != PlatformStoreMode::kNormal) {
     if (store->mode == PlatformStoreMode::kUnavailable)
-      SendJson(connection, 503, Json::object());
+      SendJson(*store, connection, 503, Json::object());
     if (store->mode == PlatformStoreMode::kResetConnections)
       ResetConnection(connection);
     if (store->mode == PlatformStoreMode::kLoseResponses) {
@@ -240,7 +244,7 @@
     HandleWatch(store, connection);
   } else {
     const auto [status, body] = ExecuteCall(*store, connection, path);
-    SendJson(connection, status, body);
+    SendJson(*store, connection, status, body);
   }
 }
 
@@ -314,6 +318,22 @@
   ResetPlatformWatches(store);
 }
 
+void KeepPlatformCopy(PlatformStore& store) {
+  store.copy = {store.items, store.revision, store.next_lease_id};
+  for (auto& [key, item] : store.copy.items)
+    item.lease_id = 0;
+}
+
+void RestorePlatformCopy(PlatformStore& store) {
+  store.items = store.copy.items;
+  store.revision = store.copy.revision;
+  store.next_lease_id = store.copy.next_lease_id;
+  store.leases.clear();
+  ++store.era;
+  store.era_fields = {std::to_string(store.era)};
+  CompactPlatformHistory(store);
+}
+
 void RevokePlatformLease(PlatformStore& store, std::uint64_t lease_id) {
   store.leases.erase(lease_id);
   std::vector<std::string> keys;
--- a/src/standin/platform_store_func.h
+++ b/src/standin/platform_store_func.h
@@ -39,6 +39,14 @@
 // watches.
 void CompactPlatformHistory(PlatformStore& store);
 
+// Keeps a copy of the items, as a backup of the store does.
+void KeepPlatformCopy(PlatformStore& store);
+
+// Restores the copy: the items and the revision are those of the copy, so that
+// revisions and lease ids are issued again; the leases and the history of
+// changes are gone, and the era rises by one.
+void RestorePlatformCopy(PlatformStore& store);
+
 // Revokes a lease and removes its keys.
 void RevokePlatformLease(PlatformStore& store, std::uint64_t lease_id);
 
--- a/src/standin/platform_store_type.h
+++ b/src/standin/platform_store_type.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -46,6 +47,13 @@
   std::shared_ptr<boost::asio::steady_timer> timer;
 };
 
+// What a restore of the stand-in brings back.
+struct PlatformStoreCopy {
+  std::map<std::string, PlatformItem> items;
+  std::uint64_t revision = 1;
+  std::uint64_t next_lease_id = 1;
+};
+
 // A stand-in of the platform's store, which holds items with revisions, a
 // history of changes, watches and leases. Its members may be used on the thread
 // of the loop only.
@@ -63,6 +71,11 @@
   std::uint64_t compacted_revision = 0;
   std::uint64_t revision = 1;
   std::uint64_t next_lease_id = 1;
+  PlatformStoreCopy copy;
+  // Number of restores, and the values of the header of all responses that
+  // states it. Tests change them to make the header odd or leave it out.
+  std::uint64_t era = 0;
+  std::vector<std::string> era_fields = {"0"};
   // Leases do not expire; they end only when they are revoked.
   std::map<std::uint64_t, bool> leases;
   std::list<PlatformWatch> watches;
--- a/tests/datagram/codec_test.cc
+++ b/tests/datagram/codec_test.cc
@@ -69,6 +69,13 @@
   BOOST_TEST((EncodeAndDecode(hello).list_received_up_to ==
               hello.list_received_up_to));
   BOOST_TEST(EncodeAndDecode(hello).without_records);
+  hello.era = {3};
+  hello.wants_withheld = true;
+  BOOST_TEST(EncodeAndDecode(hello).era.value == 3U);
+  BOOST_TEST(EncodeAndDecode(hello).wants_withheld);
+  // An era has 16 bits.
+  hello.era = {1U << 16U};
+  BOOST_TEST(EncodeAndDecode(hello).era.value == 0U);
 
   ViewUpdate update;
   update.as_of = {17};
@@ -81,7 +88,13 @@
   update.upstreams.resize(1);
   update.upstreams[0].entry.id = {"u"};
   update.upstreams[0].entry.cold_until = kSendTime + milliseconds(1500);
+  update.upstreams[0].entry.sequence = 41;
+  update.upstreams[0].restored = true;
+  update.era = {65535};
   const ViewUpdate decoded_update = EncodeAndDecode(update);
+  BOOST_TEST(decoded_update.upstreams[0].entry.sequence == 41U);
+  BOOST_TEST(decoded_update.upstreams[0].restored);
+  BOOST_TEST(decoded_update.era.value == 65535U);
   BOOST_TEST(decoded_update.part_index == 1U);
   BOOST_TEST(decoded_update.is_full_list);
   BOOST_TEST(decoded_update.more);
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -6,6 +6,7 @@
 #include "platform/configuration_func.h"
 #include "platform/json_func.h"
 #include "platform/request_func.h"
+#include "platform/store_era_func.h"
 #include "platform/store_func.h"
 #include "platform/upstream_entry_func.h"
 
@@ -214,15 +215,16 @@
   const auto changes = ParseChanges(
       R"({"events":[{"key":"k","value":"bm9kZS0x","revision":412,"lease":1},)"
       R"({"key":"old","revision":413,"removed":true},)"
-      R"({"key":"bad","value":"***","revision":414}],"asOf":414})");
+      R"({"key":"bad","value":"***","revision":414}],"asOf":414})",
+      {});
   BOOST_REQUIRE(changes.has_value());
   BOOST_REQUIRE(changes.value().items.size() == 2U);
   BOOST_TEST(changes.value().items[0].value == "node-1");
   BOOST_TEST(changes.value().items[1].removed);
   BOOST_TEST(changes.value().unreadable_count == 1U);
   BOOST_TEST(changes.value().as_of.value == 414U);
-  BOOST_TEST(!ParseChanges(R"({"events":[]})"));
-  BOOST_TEST(!ParseChanges("<html>"));
+  BOOST_TEST(!ParseChanges(R"({"events":[]})", {}));
+  BOOST_TEST(!ParseChanges("<html>", {}));
   BOOST_TEST(!ParseLeaseId(R"({"lease":"7"})"));
   const auto put = MakePutRequest("members/x", "a\nb", LeaseId{7});
   BOOST_TEST(put.body() ==
@@ -232,6 +234,47 @@
              "/kv-watch?pathPrefix=&after=5&waitMs=1000");
 }
 
+// Guards against revisions of two eras that are compared as if they were of
+// one, and against a watch that names a revision that the store does not have.
+BOOST_AUTO_TEST_CASE(RevisionsBelongToEras) {
+  const auto changes = ParseChanges(
+      R"({"events":[{"key":"k","revision":7,"removed":true}],"asOf":7})", {3});
+  BOOST_REQUIRE(changes.has_value());
+  const fleet::StoreRevision as_of = changes.value().as_of;
+  BOOST_TEST((changes.value().items[0].revision == as_of));
+  BOOST_TEST(EraOf(as_of).value == 3U);
+  BOOST_TEST(RevisionInEra(as_of) == 7U);
+  BOOST_TEST((as_of > ComposeRevision({2}, 900)));
+  BOOST_TEST(
+      (as_of > EraStart({3}) && EraStart({3}) > ComposeRevision({2}, 9)));
+  BOOST_TEST(MakeWatchRequest("", as_of, seconds(1)).target() ==
+             "/kv-watch?pathPrefix=&after=7&waitMs=1000");
+  BOOST_TEST(!ComposeRevision({0}, std::uint64_t{1} << 48U));
+  BOOST_TEST(!ParseRevision(R"({"revision":281474976710656})", {1}));
+}
+
+// Guards against a malformed era that is taken for a restore of the store, or
+// for an answer of an earlier era.
+BOOST_AUTO_TEST_CASE(OddErasAreIgnored) {
+  const auto parse = [](const std::vector<std::string>& values) {
+    edge::HttpHeader header;
+    for (const std::string& value : values)
+      header.insert("Store-Era", value);
+    return ParseStoreEra(header);
+  };
+  BOOST_TEST(!parse({}).era);
+  BOOST_TEST(!parse({}).is_unreadable);
+  BOOST_TEST(parse({"0"}).era->value == 0U);
+  BOOST_TEST(parse({"65535"}).era->value == 65535U);
+  const std::vector<std::vector<std::string>> odd_values = {
+      {""},    {"two"},  {"-1"},    {"+1"},     {"1.0"},
+      {"1 2"}, {"1, 1"}, {"65536"}, {"1", "1"}, {"99999999999999999999"}};
+  for (const auto& values : odd_values) {
+    BOOST_TEST(!parse(values).era);
+    BOOST_TEST(parse(values).is_unreadable);
+  }
+}
+
 // Guards against hop-by-hop fields that are forwarded to an upstream, against a
 // forged target instance, and against a waiting time that is longer than what
 // the caller has left.
--- a/tools/check_platform_names.sh
+++ b/tools/check_platform_names.sh
@@ -5,7 +5,7 @@
 set -u
 cd "$(dirname "$0")/.." || exit 1
 names='Attempt-Id|[^-]Deadline-Ms|Target-Instance|Instance-Id|Response-Signature'
-names+='|Not-Executed|Backend-Load|kv-(key|txn|watch|range|lease|keep)'
+names+='|Not-Executed|Backend-Load|Store-Era|kv-(key|txn|watch|range|lease|keep)'
 names+='|trafficSplit|warmupLeft|routeType|targetLatency|pathPrefix|op/config'
 names+='|healthPath|maxAttempts|non_idempotent|/readiness|/resolve'
 if git grep -nE "$names" -- 'src/*.cc' 'src/*.h' 'bench' ':!src/standin'; then
