Soak restores of the store from an older copy

Cause: nothing soaked gateways as processes through a restore of the store.

Change: the trouble "restore" keeps a copy of the store, restores it 0.5 to 4 s later in a new era, and lets the operator write the latest configuration again 0.1 to 0.5 s after that; the upstreams' heartbeats go on.

Ruled out: acknowledging the repeated configuration anew, which would lengthen the bound of 2 s for it.

--- a/src/soak/fleet_func.cc
+++ b/src/soak/fleet_func.cc
@@ -120,8 +120,8 @@
   });
 }
 
-void WriteNextConfiguration(Fleet& fleet) {
-  const std::uint64_t version = ++fleet.version;
+void WriteConfiguration(Fleet& fleet) {
+  const std::uint64_t version = fleet.version;
   std::vector<standin::PlatformRoute> routes = {{"look", "/look/", true},
                                                 {"order", "/order/", false}};
   const std::uint64_t first =
@@ -129,8 +129,14 @@
   for (std::uint64_t kept = first; kept <= version; ++kept)
     routes.push_back({"v" + std::to_string(kept), VersionPrefix(kept), true});
   standin::PutPlatformConfiguration(*fleet.store, version, kSoakHost, routes);
-  RecordAcknowledgement(fleet.check, version, clock::Now());
-  WriteRecord(fleet, "version " + std::to_string(version) + " acknowledged");
+}
+
+void WriteNextConfiguration(Fleet& fleet) {
+  ++fleet.version;
+  WriteConfiguration(fleet);
+  RecordAcknowledgement(fleet.check, fleet.version, clock::Now());
+  WriteRecord(fleet,
+              "version " + std::to_string(fleet.version) + " acknowledged");
 }
 
 void StartGatewayProcess(Fleet& fleet, std::uint32_t gateway) {
--- a/src/soak/fleet_func.h
+++ b/src/soak/fleet_func.h
@@ -19,6 +19,8 @@
 // Writes the next configuration, which adds a route of its own and keeps those
 // of the versions before it.
 void WriteNextConfiguration(Fleet& fleet);
+// Writes the latest configuration again, as after a restore of the store.
+void WriteConfiguration(Fleet& fleet);
 
 // Writes the entry of an upstream into the store.
 void WriteEntry(Fleet& fleet, const standin::PlatformUpstream& upstream);
--- a/src/soak/trouble_func.cc
+++ b/src/soak/trouble_func.cc
@@ -117,6 +117,21 @@
   standin::CompactPlatformHistory(*fleet.store);
 }
 
+// Restores the store from a copy that is some seconds old. The operator then
+// writes the latest configuration again, and the upstreams their entries.
+void Restore(Fleet& fleet) {
+  WriteRecord(fleet, "a copy of the store is kept");
+  standin::KeepPlatformCopy(*fleet.store);
+  RunAfter(fleet, DrawDuration(fleet, milliseconds(500), milliseconds(4000)),
+           [&fleet] {
+             WriteRecord(fleet, "the store is restored from the copy");
+             standin::RestorePlatformCopy(*fleet.store);
+             RunAfter(fleet,
+                      DrawDuration(fleet, milliseconds(100), milliseconds(500)),
+                      [&fleet] { WriteConfiguration(fleet); });
+           });
+}
+
 void Reload(Fleet& fleet) {
   GatewayProcess& gateway = fleet.gateways[DrawGateway(fleet)];
   if (gateway.pid == 0)
@@ -171,6 +186,7 @@
     Trouble{"drop_history", DropHistory},
     Trouble{"reload", Reload},
     Trouble{"limit", LimitUpstream},
+    Trouble{"restore", Restore},
 };
 
 // Returns whether a trouble may be drawn in this run.
