--- a/tests/gateway/hedge_test.cc
+++ b/tests/gateway/hedge_test.cc
@@ -34,7 +34,7 @@
 
   // Sends a look-up, which must be answered, and returns its id.
   std::string Look() {
-    const std::string id = "look-" + std::to_string(this->sent++);
+    std::string id = "look-" + std::to_string(this->sent++);
     const CallerResponse response =
         this->SendAndWait(*this->gateways[this->sent % 2], {.request_id = id});
     BOOST_TEST(response.status == 200U, id << " got " << response.status);
