Count coverage by the probability that upstreams are sound

Three in ten of them were faulty, so the share could only be reached with requests to upstreams that were known to hang; while many requests fail, every upstream was covered in turn. Of the attempts at one service 18% ran badly, where blind choice gives 22%.

Change: an upstream counts towards the share with the probability that it is sound, and those that look best are covered first, in calm and in lossy times.

--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -22,10 +22,14 @@
 // to cover, and each is found a request soon.
 constexpr base::Duration kCalmCoverageDelay = std::chrono::milliseconds(300);
 
-// Share of the ready upstreams that is kept covered beyond the floor while few
-// requests fail. The floor counts healthy upstreams only, and some of the
-// covered ones are not.
-constexpr double kFloorShareMargin = 0.05;
+// Share of the upstreams expected to be sound that is kept covered beyond the
+// floor, while few and while many requests fail. Which ones are sound is only
+// estimated, and an upstream that has been faulty until a moment ago counts.
+constexpr double kCalmFloorShareMargin = 0.05;
+constexpr double kLossyFloorShareMargin = 0.2;
+// Upstreams that are covered beyond that. One wrong estimate is a large share
+// of a small shard.
+constexpr double kUncertainUpstreams = 1;
 
 // Coverage requests for each other request while few requests fail, as far as
 // last attempts are used. Where upstreams see less than a request a second,
@@ -77,22 +81,24 @@
   return upstream.running_count - stalled < upstream.entry.slots;
 }
 
-// Tells whether this share of the ready upstreams has received a request within
-// `interval`.
+// Tells whether this share of the upstreams that are expected to be sound has
+// received a request within `interval`. Requests to upstreams that are probably
+// faulty would be lost, and the floor does not ask for them.
 bool IsShareCovered(const ShardState& shard_state,
                     double share,
                     base::Duration interval,
                     base::TimePoint now) {
-  std::size_t ready = 0;
-  std::size_t covered = 0;
+  double sound = 0;
+  double covered = 0;
   for (const auto& [id, upstream] : shard_state.upstreams) {
     if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
       continue;
-    ++ready;
-    covered += now - upstream.covered_at < interval ? 1 : 0;
+    const double soundness = 1 - FaultProbability(upstream, now);
+    sound += soundness;
+    covered += now - upstream.covered_at < interval ? soundness : 0;
   }
-  return static_cast<double>(covered) >=
-         std::min(share, 1.0) * static_cast<double>(ready);
+  return covered >=
+         std::min(std::min(share, 1.0) * sound + kUncertainUpstreams, sound);
 }
 
 }  // namespace
@@ -149,8 +155,8 @@
   const bool lossy = IsLossy(shard_state.loss_stats, now);
   const base::Duration interval =
       CoverageInterval(MustSucceed(slot_request), lossy);
-  if (!lossy && IsShareCovered(shard_state, floor_share + kFloorShareMargin,
-                               interval, now))
+  const double margin = lossy ? kLossyFloorShareMargin : kCalmFloorShareMargin;
+  if (IsShareCovered(shard_state, floor_share + margin, interval, now))
     return nullptr;
   if (!lossy && MustSucceed(slot_request) &&
       shard_state.loss_stats.coverage_credit < 1)
@@ -165,9 +171,7 @@
       continue;
     if (!lossy && upstream.health_status == HealthStatus::kSuspended)
       continue;
-    const double rank =
-        lossy ? static_cast<double>((now - upstream.covered_at).count())
-              : 1 - FaultProbability(upstream, now);
+    const double rank = 1 - FaultProbability(upstream, now);
     if (!best || rank > best_rank) {
       best = &upstream;
       best_rank = rank;
--- a/src/dispatch/coverage_func.h
+++ b/src/dispatch/coverage_func.h
@@ -13,11 +13,14 @@
 // be healthy, and the ones that look good cannot carry the load alone.
 //
 // An upstream is due for coverage when no request has been sent to it for the
-// coverage interval. While many requests fail, every due upstream goes before
-// all other placement, whatever its health status and cost are, and the one
-// that has been due the longest goes first. Otherwise, since failures may begin
-// at any moment, a share of the upstreams is kept covered, and the ones that
-// look best go first. Requests that can be sent again are used before others.
+// coverage interval. Upstreams that are due go before all other placement until
+// the floor and a margin are covered, and those that look best go first. The
+// floor counts sound upstreams, so each counts with the probability that it is
+// one: if all look bad for a common reason, all are covered. While many
+// requests fail, the margin is larger, and upstreams are covered whatever their
+// health status is. Otherwise, since failures may begin at any moment, the
+// floor alone is kept covered. Requests that can be sent again are used before
+// others.
 
 // Counts a request that has been granted an upstream for the first time.
 // Coverage requests and their losses are left out: coverage would otherwise
--- a/tests/dispatch/coverage_test.cc
+++ b/tests/dispatch/coverage_test.cc
@@ -101,6 +101,29 @@
   }
 }
 
+// Guards against healthy upstreams that are idle when many others begin to fail
+// at the same moment: there is then no time left in the window to cover them.
+BOOST_AUTO_TEST_CASE(SoundUpstreamsAreCoveredWhenFailuresBegin) {
+  constexpr int kRuns = 1000;
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
+    base::Rng rng(seed);
+    ModelOptions options = DrawOptions(rng);
+    options.faulty_share = 0.2 * base::Uniform01(rng);
+    options.episodes_per_s = 0.03;
+    options.takeover_at = {};
+    options.onset_at = milliseconds(
+        10 * (500 + static_cast<int>(base::UniformBelow(rng, 200))));
+    options.onset_share = 0.1 + 0.5 * base::Uniform01(rng);
+    const double covered = SmallestCoveredShare(options, seed, seconds(11));
+    BOOST_TEST_CONTEXT("seed " << seed << ", " << options.upstreams
+                               << " upstreams, load " << options.load
+                               << ", repeatable " << options.repeatable_share
+                               << ", " << options.onset_share << " fail at "
+                               << options.onset_at.count() / 1000 << " ms")
+    BOOST_TEST(covered >= kFloorShare);
+  }
+}
+
 // Guards against an upstream that is never chosen again because its last
 // response, received long ago, reported a long queue.
 BOOST_AUTO_TEST_CASE(OldReportedLoadDoesNotKeepRequestsAway) {
--- a/tests/dispatch/service_model.h
+++ b/tests/dispatch/service_model.h
@@ -32,6 +32,10 @@
   base::Duration mean_duration = milliseconds(250);
   // If above zero, a dispatcher without knowledge takes over at this time.
   base::Duration takeover_at{};
+  // If above zero, each upstream begins to fail at this time with the
+  // probability `onset_share`, and does not recover.
+  base::Duration onset_at{};
+  double onset_share = 0;
 };
 
 // A request's last attempt, or the request itself if it was refused.
@@ -190,6 +194,13 @@
     }
   }
 
+  void StartOnset() {
+    for (auto& [id, upstream] : this->upstreams) {
+      if (base::Uniform01(this->rng) < this->options.onset_share)
+        upstream.permanently_faulty = true;
+    }
+  }
+
   // Lets a dispatcher without knowledge take over, as after the loss of the
   // first one. The attempts that run are unknown to it.
   void TakeOver() {
@@ -220,6 +231,9 @@
     if (this->options.takeover_at > base::Duration(0) &&
         this->steps * kStep == this->options.takeover_at)
       this->TakeOver();
+    if (this->options.onset_at > base::Duration(0) &&
+        this->steps * kStep == this->options.onset_at)
+      this->StartOnset();
     this->StartEpisodes(kStepSeconds);
     std::vector<ModelAttempt> ended;
     std::erase_if(this->running, [&](const ModelAttempt& attempt) {
