Give short responses little weight as evidence of health

Cause: half of the requests at one service took 3 ms, the others 590 ms, in the same class of work. An upstream that hung its work still answered the short ones and was taken for healthy: 31% of the work sent there was lost, more than blind choice loses. The mean duration was half of what the work takes, so attempts were retried while their upstreams still worked on them.

Change: durations are compared with the typical one of the class, weighted by length. Shorter ones than a sixteenth of it leave the mean alone, count a tenth as evidence, and end no trial.

--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -43,6 +43,11 @@
   double mean_us = 0;
   std::uint32_t samples = 0;
   DurationHistogram histogram = {};
+  // Decaying sums of the durations and of their squares, and the smoothed share
+  // of short responses, see duration_stats_func.h.
+  double sum_us = 0;
+  double square_sum_us2 = 0;
+  double short_share = 0;
 };
 
 // Token bucket that limits the retries of one service or shard to its part of
--- a/src/dispatch/outlier_detection_func.cc
+++ b/src/dispatch/outlier_detection_func.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-#include "dispatch/duration_histogram_func.h"
+#include "dispatch/daemon_outcome_func.h"
+#include "dispatch/duration_stats_func.h"
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/hedge_func.h"
+#include "dispatch/path_failure_func.h"
 #include "dispatch/rate_limit_func.h"
 
 namespace poplarfork::dispatch {
@@ -54,14 +56,9 @@
 // Weight of the newest duration in an upstream's slowness.
 constexpr double kSlownessGain = 0.25;
 
-// Weight of the newest duration in the mean duration of a class of work. The
-// first samples count more.
-constexpr double kMeanDurationGain = 0.02;
-constexpr std::uint32_t kWarmUpSamples = 20;
-
-// A daemon whose connection to an upstream failed is not granted that upstream
-// for this long.
-constexpr base::Duration kPathFailureTime = std::chrono::milliseconds(3000);
+// Weight of a short response as evidence of health, see duration_stats_func.h.
+// An upstream that hangs its work may send as many of them as a healthy one.
+constexpr double kShortResponseWeight = 0.1;
 
 // An upstream is suspended when this many daemons fail to connect to it at the
 // same time while no daemon receives a response from it.
@@ -71,16 +68,6 @@
 // upstream, unless a daemon has received a response from it within this time.
 constexpr base::Duration kRecentResponseTime = std::chrono::milliseconds(300);
 
-// Responses and failures that a daemon has seen are forgotten after this time.
-constexpr base::Duration kDaemonOutcomeLifetime =
-    std::chrono::milliseconds(4000);
-
-// When a daemon sees failures at this many upstreams at the same time, and at
-// more upstreams than have responded, the fault is assumed to be in the daemon
-// or its network, and its reports get the reduced weight.
-constexpr std::size_t kMinFailingUpstreams = 3;
-constexpr double kFaultyDaemonWeight = 0.1;
-
 // The load that an upstream reports in one response counts as at most this many
 // requests of other dispatchers. The reported load includes the upstream's own
 // queue, which this dispatcher does not fill.
@@ -149,27 +136,14 @@
     Suspend(upstream, "responses are slow", now, actions);
 }
 
-void UpdateDurations(ShardState& shard_state,
-                     UpstreamState& upstream,
-                     const RunningAttempt& attempt,
-                     base::Duration duration) {
-  DurationStats& stats = shard_state.duration_stats[attempt.work_class];
-  const double duration_us = static_cast<double>(duration.count());
-  const double ratio = stats.mean_us > 0 ? duration_us / stats.mean_us : 1;
+void UpdateSlowness(UpstreamState& upstream,
+                    const DurationStats& stats,
+                    base::Duration duration) {
+  const double ratio =
+      stats.mean_us > 0 ? static_cast<double>(duration.count()) / stats.mean_us
+                        : 1;
   upstream.slowness +=
       kSlownessGain * (std::min(ratio, 8.0) - upstream.slowness);
-  ++stats.samples;
-  AddDuration(stats.histogram, duration);
-  const double gain =
-      std::max(kMeanDurationGain,
-               1.0 / (1 + std::min(stats.samples, kWarmUpSamples * 10)));
-  // Durations far above the mean come from slow upstreams. They are limited
-  // before they are counted, so that the mean remains that of healthy
-  // upstreams.
-  const double limited_us = stats.samples > kWarmUpSamples
-                                ? std::min(duration_us, 3 * stats.mean_us)
-                                : duration_us;
-  stats.mean_us += gain * (limited_us - stats.mean_us);
 }
 
 void CountFailure(UpstreamState& upstream,
@@ -220,28 +194,25 @@
     Reinstate(upstream, now, actions);
 }
 
-void RecordPathFailure(UpstreamState& upstream,
-                       const base::DaemonId& daemon,
-                       base::TimePoint now) {
-  std::erase_if(upstream.path_failures, [now](const auto& item) {
-    return item.second.avoid_until <= now;
-  });
-  UpstreamState::PathFailure& path_failure = upstream.path_failures[daemon];
-  if (path_failure.first_seen_at == base::TimePoint{})
-    path_failure.first_seen_at = now;
-  path_failure.avoid_until = now + kPathFailureTime;
-}
-
-// Returns the number of daemons whose connections to the upstream have failed
-// since any daemon last received a response from it.
-std::size_t CountPathFailuresSinceResponse(const UpstreamState& upstream,
-                                           base::TimePoint now) {
-  return static_cast<std::size_t>(std::count_if(
-      upstream.path_failures.begin(), upstream.path_failures.end(),
-      [&upstream, now](const auto& item) {
-        return item.second.avoid_until > now &&
-               item.second.first_seen_at > upstream.last_response_at;
-      }));
+void CountServed(ShardState& shard_state,
+                 UpstreamState& upstream,
+                 const RunningAttempt& attempt,
+                 base::Duration duration,
+                 base::TimePoint now,
+                 Actions& actions) {
+  DurationStats& stats = shard_state.duration_stats[attempt.work_class];
+  const bool is_short = IsShortResponse(stats, duration);
+  if (!is_short)
+    UpdateSlowness(upstream, stats, duration);
+  AddResponseDuration(stats, duration, is_short);
+  Observe(upstream.fault_estimate, Evidence::kServed,
+          is_short ? kShortResponseWeight : 1, attempt.granted_at);
+  if (is_short) {
+    upstream.served += kShortResponseWeight;
+    return;
+  }
+  upstream.last_work_response_at = now;
+  CountSuccess(upstream, attempt, now, actions);
 }
 
 void CountUnreachable(UpstreamState& upstream,
@@ -273,13 +244,6 @@
   upstream.load_reported_at = now;
 }
 
-// Tells whether the outcome shows that both the request and the response were
-// transferred.
-bool IsResponse(Outcome outcome) {
-  return outcome == Outcome::kServed || outcome == Outcome::kFailed ||
-         outcome == Outcome::kShed || outcome == Outcome::kMisdirected;
-}
-
 }  // namespace
 
 double FailureShare(const UpstreamState& upstream, base::TimePoint now) {
@@ -307,12 +271,12 @@
   UpdateForeignRequests(upstream, report, now);
   if (IsResponse(report.outcome))
     upstream.last_response_at = now;
+  if (IsResponse(report.outcome) && report.outcome != Outcome::kServed)
+    upstream.last_work_response_at = now;
   switch (report.outcome) {
     case Outcome::kServed:
-      UpdateDurations(shard_state, upstream, attempt, report.duration);
-      Observe(upstream.fault_estimate, Evidence::kServed, 1,
-              attempt.granted_at);
-      CountSuccess(upstream, attempt, now, actions);
+      CountServed(shard_state, upstream, attempt, report.duration, now,
+                  actions);
       break;
     case Outcome::kFailed:
       Observe(upstream.fault_estimate, Evidence::kLost, 1, attempt.granted_at);
@@ -370,39 +334,13 @@
   RecordPathFailure(upstream, attempt.daemon, now);
   Observe(upstream.fault_estimate, Evidence::kLost, weight, attempt.granted_at);
   CountFailure(upstream, weight, "a trial request stalls", now, actions);
-  const bool silent = upstream.last_response_at < attempt.granted_at;
+  const bool silent = upstream.last_work_response_at < attempt.granted_at;
   if (upstream.health_status == HealthStatus::kHealthy && silent &&
       weight >= 1 && upstream.stalled_count >= kSuspendStalledAttempts)
     Suspend(upstream, "requests stall", now, actions);
   SuspendIfUnhealthy(upstream, now, actions);
 }
 
-double RecordDaemonOutcome(Dispatcher& dispatcher,
-                           const base::DaemonId& daemon,
-                           const base::UpstreamId& upstream,
-                           Outcome outcome,
-                           base::TimePoint now) {
-  DaemonState& daemon_state = dispatcher.daemons[daemon];
-  const auto is_expired = [now](const auto& item) {
-    return now - item.second > kDaemonOutcomeLifetime;
-  };
-  std::erase_if(daemon_state.last_response_at, is_expired);
-  std::erase_if(daemon_state.last_failure_at, is_expired);
-  if (IsResponse(outcome)) {
-    daemon_state.last_response_at[upstream] = now;
-    daemon_state.last_failure_at.erase(upstream);
-    return 1;
-  }
-  if (outcome == Outcome::kUnused || outcome == Outcome::kCancelled)
-    return 1;
-  daemon_state.last_failure_at[upstream] = now;
-  const bool is_daemon_fault =
-      daemon_state.last_failure_at.size() >= kMinFailingUpstreams &&
-      daemon_state.last_failure_at.size() >
-          daemon_state.last_response_at.size();
-  return is_daemon_fault ? kFaultyDaemonWeight : 1;
-}
-
 bool SuspendRefusing(UpstreamState& upstream,
                      base::TimePoint now,
                      Actions& actions) {
--- a/src/dispatch/outlier_detection_func.h
+++ b/src/dispatch/outlier_detection_func.h
@@ -27,16 +27,6 @@
                 base::TimePoint now,
                 Actions& actions);
 
-// Records that a daemon received a response from an upstream or failed to, and
-// returns the weight (0 to 1) of the failures that the daemon reports. The load
-// pattern that this handles is a daemon whose own network paths are cut or
-// lossy: its reports would otherwise count against healthy upstreams.
-double RecordDaemonOutcome(Dispatcher& dispatcher,
-                           const base::DaemonId& daemon,
-                           const base::UpstreamId& upstream,
-                           Outcome outcome,
-                           base::TimePoint now);
-
 // Suspends an upstream whose host refused a connection, unless there has been a
 // response since shortly before. Returns whether it is suspended.
 bool SuspendRefusing(UpstreamState& upstream,
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -4,6 +4,7 @@
 
 #include "base/rng_func.h"
 #include "dispatch/coverage_func.h"
+#include "dispatch/duration_stats_func.h"
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/outlier_detection_func.h"
 #include "dispatch/pause_func.h"
@@ -228,7 +229,7 @@
   double weighted = 0;
   double samples = 0;
   for (const auto& [work_class, stats] : shard_state.duration_stats) {
-    weighted += stats.mean_us * stats.samples;
+    weighted += MeanResponseUs(stats) * stats.samples;
     samples += stats.samples;
   }
   const double mean_us = samples > 0 ? weighted / samples : kDefaultDurationUs;
--- a/src/dispatch/running_attempt_func.cc
+++ b/src/dispatch/running_attempt_func.cc
@@ -6,6 +6,7 @@
 #include "base/time_func.h"
 #include "dispatch/account_limit_func.h"
 #include "dispatch/coverage_func.h"
+#include "dispatch/daemon_outcome_func.h"
 #include "dispatch/fault_estimate_func.h"
 #include "dispatch/hedge_moment_func.h"
 #include "dispatch/outlier_detection_func.h"
--- a/src/dispatch/upstream_state_type.h
+++ b/src/dispatch/upstream_state_type.h
@@ -105,6 +105,8 @@
   double slowness = 1;
   // Time of the last response of any kind.
   base::TimePoint last_response_at{};
+  // The same without short responses, see duration_stats_func.h.
+  base::TimePoint last_work_response_at{};
   std::vector<OpenAttempt> open_attempts;
   FaultEstimate fault_estimate;
 
