Admit requests of accounts with few requests during a surge

The forecast of the wait assumed that all queued requests of other accounts come first when an account is usually granted little, although accounts that surge give way to it. The forecast now counts at most the grants after which an account gives way.

--- a/src/dispatch/account_load_func.cc
+++ b/src/dispatch/account_load_func.cc
@@ -64,6 +64,44 @@
   return (load.usual_grants + 1) / (seconds + 1);
 }
 
+// Grants of an account within the time constant of the recent ones, and how
+// many are usual for it in this time.
+struct GrantCounts {
+  double recent = 0;
+  double usual = 0;
+};
+
+GrantCounts CountGrants(const ShardState& shard_state,
+                        const base::AccountId& account,
+                        base::TimePoint now) {
+  const auto found = shard_state.account_loads.find(account);
+  if (found == shard_state.account_loads.end())
+    return {};
+  AccountLoad load = found->second;
+  Decay(load, now);
+  // The counts of an account that was first seen a moment ago are alike.
+  const double age = Seconds(now - load.first_grant_at);
+  const double usual =
+      age > 0 ? load.usual_grants * kRecentSeconds *
+                    -std::expm1(-age / kRecentSeconds) /
+                    (kUsualSeconds * -std::expm1(-age / kUsualSeconds))
+              : load.usual_grants;
+  return {load.recent_grants, usual};
+}
+
+double Share(const GrantCounts& counts) {
+  return (counts.recent + kPriorGrants) / (counts.usual + kPriorGrants);
+}
+
+// Returns the number of further grants after which an account gives way to one
+// with `other_share`.
+double GrantsUntilGivingWay(const GrantCounts& counts, double other_share) {
+  const double share = std::max(kOvertakingFactor * other_share, 1.0);
+  const double grants =
+      share * (counts.usual + kPriorGrants) - kPriorGrants - counts.recent;
+  return std::max(grants, 0.0);
+}
+
 }  // namespace
 
 void CountAccountGrant(ShardState& shard_state,
@@ -88,19 +126,7 @@
 double ServedShare(const ShardState& shard_state,
                    const base::AccountId& account,
                    base::TimePoint now) {
-  const auto found = shard_state.account_loads.find(account);
-  if (found == shard_state.account_loads.end())
-    return 1;
-  AccountLoad load = found->second;
-  Decay(load, now);
-  // The counts of an account that was first seen a moment ago are alike.
-  const double age = Seconds(now - load.first_grant_at);
-  const double usual_grants =
-      age > 0 ? load.usual_grants * kRecentSeconds *
-                    -std::expm1(-age / kRecentSeconds) /
-                    (kUsualSeconds * -std::expm1(-age / kUsualSeconds))
-              : load.usual_grants;
-  return (load.recent_grants + kPriorGrants) / (usual_grants + kPriorGrants);
+  return Share(CountGrants(shard_state, account, now));
 }
 
 bool IsSameRank(const SlotRequest& a, const SlotRequest& b) {
@@ -133,9 +159,17 @@
   }
   const double own_grants = static_cast<double>(own + 1) /
                             UsualRate(shard_state, slot_request.account, now);
+  // The share that the account will have when the new request is its next one.
+  GrantCounts own_counts = CountGrants(shard_state, slot_request.account, now);
+  own_counts.recent += static_cast<double>(own);
+  const double own_share = Share(own_counts);
   for (const auto& [account, queued] : queued_by_account) {
-    const double granted =
-        kOvertakingFactor * own_grants * UsualRate(shard_state, account, now);
+    // By the usual rates alone, an account with few requests would wait for all
+    // others until it is usually granted one.
+    const double granted = std::min(
+        kOvertakingFactor * own_grants * UsualRate(shard_state, account, now),
+        GrantsUntilGivingWay(CountGrants(shard_state, account, now),
+                             own_share));
     ahead += std::min(queued, static_cast<std::size_t>(std::ceil(granted)));
   }
   return ahead;
--- a/src/dispatch/account_load_func.h
+++ b/src/dispatch/account_load_func.h
@@ -32,7 +32,8 @@
 // Returns the number of queued requests that are served before a new one.
 // Without an account these are all. Otherwise, each other account of the same
 // rank counts with the requests that it may be granted, in relation to what it
-// is usually granted, until it is the new one's turn.
+// is usually granted, until it is the new one's turn, but at most until it
+// gives way.
 std::size_t CountAhead(const ShardState& shard_state,
                        const SlotRequest& slot_request,
                        base::TimePoint now);
--- a/tests/dispatch/account_fairness_test.cc
+++ b/tests/dispatch/account_fairness_test.cc
@@ -176,6 +176,34 @@
   }
 }
 
+// Guards against an account with few requests that is refused because the queue
+// is full of a surging account's requests, which would give way to it.
+BOOST_AUTO_TEST_CASE(SurgeDoesNotShutOutAccountsWithFewRequests) {
+  for (int upstreams = 4; upstreams >= 2; --upstreams) {
+    AccountResult rare;
+    AccountResult others;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      FairnessModel model(upstreams, true, seed);
+      model.rates[kAccounts - 1] = 0.5;
+      model.Run(seconds(30));
+      model.results.clear();
+      model.rates[0] = 7.5 * 8;
+      model.Run(seconds(10));
+      rare.sent += model.results[kAccounts - 1].sent;
+      rare.served += model.results[kAccounts - 1].served;
+      for (int account = 1; account < kAccounts - 1; ++account) {
+        others.sent += model.results[account].sent;
+        others.served += model.results[account].served;
+      }
+    }
+    BOOST_TEST_MESSAGE(upstreams << " upstreams, seeds 1 to 20: served "
+                                 << rare.ServedShare() << " of " << rare.sent
+                                 << " requests of the account with few, "
+                                 << others.ServedShare() << " of the others");
+    BOOST_TEST(rare.ServedShare() >= 0.9 * others.ServedShare());
+  }
+}
+
 // Guards against a usual load that is served worse with accounts than without
 // them.
 BOOST_AUTO_TEST_CASE(UsualLoadIsServedAsWithoutAccounts) {
