Keep one request from holding up the queue, and charge each once

- A queued request that avoids the upstream with the free slot, or whose daemon has no path to it, held up all requests behind it, while new requests took the slot.
It is now passed over until an upstream is free that it can use.
- A request whose grant was lost and whose upstream was then removed took a second token of its account, and could be refused with 429.
- Requests that were queued or granted before their account had a limit gave a token back that they had not taken.
The account that was charged is now kept with the request.

--- a/src/dispatch/account_limit_func.cc
+++ b/src/dispatch/account_limit_func.cc
@@ -7,10 +7,14 @@
 
 namespace poplarfork::dispatch {
 
-base::AccountId ChargedAccount(const SlotRequest& slot_request) {
+base::AccountId ChargedAccount(const Dispatcher& dispatcher,
+                               const SlotRequest& slot_request) {
   const bool has_paid = slot_request.is_retry || slot_request.is_hedge ||
                         slot_request.was_granted;
-  return has_paid ? base::AccountId{} : slot_request.account;
+  const fleet::AccountLimit limit =
+      allowance::FindLimit(dispatcher.balances.accounts, slot_request.account);
+  return has_paid || limit.rate_per_second <= 0 ? base::AccountId{}
+                                                : slot_request.account;
 }
 
 bool RefuseOverAllowance(Dispatcher& dispatcher,
@@ -19,7 +23,7 @@
                          base::TimePoint now,
                          base::Rng& rng,
                          Actions& actions) {
-  const base::AccountId account = ChargedAccount(slot_request);
+  const base::AccountId account = ChargedAccount(dispatcher, slot_request);
   if (account.value.empty())
     return false;
   const std::optional<base::Duration> retry_after = allowance::TakeToken(
@@ -33,8 +37,8 @@
 }
 
 void GiveBackAccountToken(Dispatcher& dispatcher,
-                          const SlotRequest& slot_request) {
-  allowance::GiveBackToken(dispatcher.balances, ChargedAccount(slot_request));
+                          const base::AccountId& charged_account) {
+  allowance::GiveBackToken(dispatcher.balances, charged_account);
 }
 
 void GiveBackUnusedToken(Dispatcher& dispatcher,
--- a/src/dispatch/account_limit_func.h
+++ b/src/dispatch/account_limit_func.h
@@ -17,14 +17,16 @@
                          base::Rng& rng,
                          Actions& actions);
 
-// Gives back the token that the slot request has taken, if any. The request
-// must not have been granted an upstream.
-void GiveBackAccountToken(Dispatcher& dispatcher,
-                          const SlotRequest& slot_request);
-
 // Returns the account whose token the slot request takes; empty if it takes
-// none.
-base::AccountId ChargedAccount(const SlotRequest& slot_request);
+// none, also because its account has no limit at present. The limits may change
+// before the request ends, so the result has to be kept to give the token back.
+base::AccountId ChargedAccount(const Dispatcher& dispatcher,
+                               const SlotRequest& slot_request);
+
+// Gives back the token that a slot request has taken from `charged_account`, if
+// any. The request must not have been granted an upstream.
+void GiveBackAccountToken(Dispatcher& dispatcher,
+                          const base::AccountId& charged_account);
 
 // Gives back the token of an attempt whose grant was not used. Keeps it if the
 // daemon asks for a slot at another upstream instead, or if the grant was sent
--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -72,12 +72,20 @@
   return now + duration <= queued_request.late_at;
 }
 
+bool IsPassedOver(const PassedOver& passed_over,
+                  const QueuedRequest& queued_request) {
+  return passed_over.daemons.contains(queued_request.daemon) ||
+         (!passed_over.requests.empty() &&
+          passed_over.requests.contains(
+              {queued_request.daemon, queued_request.slot_request.attempt_id}));
+}
+
 // Returns the index of the request that is served in place of the one at
 // `index`: the first one of the account that has been served least, among those
 // that may overtake it.
 std::size_t ChooseAccount(const ShardState& shard_state,
                           std::size_t index,
-                          const std::set<base::DaemonId>& passed_over,
+                          const PassedOver& passed_over,
                           base::TimePoint now) {
   const QueuedRequest& first = shard_state.queue[index];
   if (first.slot_request.account.value.empty())
@@ -92,7 +100,7 @@
   double least_share = first_share;
   for (std::size_t i = index + 1; i < shard_state.queue.size(); ++i) {
     const QueuedRequest& queued_request = shard_state.queue[i];
-    if (passed_over.contains(queued_request.daemon) ||
+    if (IsPassedOver(passed_over, queued_request) ||
         !IsSameRank(queued_request.slot_request, first.slot_request) ||
         (first_is_on_time && !CanBeOnTime(shard_state, queued_request, now)))
       continue;
@@ -193,14 +201,13 @@
   shard_state.queue.insert(position, std::move(queued_request));
 }
 
-std::optional<std::size_t> NextQueuedIndex(
-    const ShardState& shard_state,
-    const std::set<base::DaemonId>& passed_over,
-    base::TimePoint now) {
+std::optional<std::size_t> NextQueuedIndex(const ShardState& shard_state,
+                                           const PassedOver& passed_over,
+                                           base::TimePoint now) {
   std::optional<std::size_t> first;
   for (std::size_t i = 0; i < shard_state.queue.size(); ++i) {
     const QueuedRequest& queued_request = shard_state.queue[i];
-    if (passed_over.contains(queued_request.daemon))
+    if (IsPassedOver(passed_over, queued_request))
       continue;
     first = first.value_or(i);
     if (CanBeOnTime(shard_state, queued_request, now))
--- a/src/dispatch/admission_func.h
+++ b/src/dispatch/admission_func.h
@@ -25,15 +25,21 @@
 // Inserts a request into the queue in the order of due time and priority.
 void Enqueue(ShardState& shard_state, QueuedRequest queued_request);
 
+// Queued requests that cannot use the free slots, although others may: single
+// ones, and all of a daemon.
+struct PassedOver {
+  std::set<AttemptKey> requests;
+  std::set<base::DaemonId> daemons;
+};
+
 // Returns the index of the queued request to serve next: the first one that can
-// still complete on time, or the first one if none can. The requests of the
-// daemons in `passed_over` are left out; returns nothing if there are no
-// others. In place of a request whose account has been served far more than
-// that of another one comes the request of the latter, see account_load_func.h.
-std::optional<std::size_t> NextQueuedIndex(
-    const ShardState& shard_state,
-    const std::set<base::DaemonId>& passed_over,
-    base::TimePoint now);
+// still complete on time, or the first one if none can. The requests in
+// `passed_over` are left out; returns nothing if there are no others. In place
+// of a request whose account has been served far more than that of another one
+// comes the request of the latter, see account_load_func.h.
+std::optional<std::size_t> NextQueuedIndex(const ShardState& shard_state,
+                                           const PassedOver& passed_over,
+                                           base::TimePoint now);
 
 // Takes one retry from the retry budget and returns whether there was one. The
 // load pattern that this handles is many upstreams that shed or fail requests
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -92,6 +92,22 @@
   return true;
 }
 
+// Removes the attempt of a slot request that is repeated although it has been
+// granted, because its grant was lost and the upstream is gone, so that it gets
+// another one. Returns whether there was such an attempt.
+bool DropReplacedAttempt(Dispatcher& dispatcher,
+                         const base::DaemonId& daemon,
+                         const SlotRequest& slot_request,
+                         ShardState& shard_state) {
+  const auto found =
+      dispatcher.running_attempts.find({daemon, slot_request.attempt_id});
+  if (found == dispatcher.running_attempts.end())
+    return false;
+  ReleaseSlot(shard_state, found->second);
+  dispatcher.running_attempts.erase(found);
+  return true;
+}
+
 }  // namespace
 
 Actions OnSlotRequest(Dispatcher& dispatcher,
@@ -116,6 +132,12 @@
   shard_state.last_slot_request_at = now;
   if (RepeatReply(dispatcher, daemon, slot_request, shard_state, actions))
     return actions;
+  if (DropReplacedAttempt(dispatcher, daemon, slot_request, shard_state)) {
+    // The request has paid with the grant that is replaced.
+    SlotRequest paid_request = slot_request;
+    paid_request.was_granted = true;
+    return OnSlotRequest(dispatcher, daemon, paid_request, now, rng);
+  }
   if (IsRefusedForCrashes(dispatcher, slot_request, now)) {
     actions.push_back(SendRefusal{
         daemon, MakeRefusal(&shard_state, slot_request,
@@ -131,7 +153,7 @@
           MakeRefusal(&shard_state, slot_request, *decision.refusal, rng)});
     else
       GrantSlot(dispatcher, shard_state, decision.placement, daemon,
-                slot_request, base::Duration(0), now, actions);
+                slot_request, {}, base::Duration(0), now, actions);
     return actions;
   }
   if (slot_request.is_retry &&
@@ -145,6 +167,8 @@
   }
   if (RefuseOverAllowance(dispatcher, daemon, slot_request, now, rng, actions))
     return actions;
+  const base::AccountId charged_account =
+      ChargedAccount(dispatcher, slot_request);
   // Queued requests are served first. The new request can still get a slot if
   // the free ones cannot be used for the next queued request.
   ServeQueue(dispatcher, shard_state, now, rng, actions);
@@ -153,24 +177,25 @@
                    dispatcher.settings.floor_share, now, rng);
   if (placement.upstream) {
     GrantSlot(dispatcher, shard_state, placement, daemon, slot_request,
-              base::Duration(0), now, actions);
+              charged_account, base::Duration(0), now, actions);
     return actions;
   }
   if (RefuseIfPaused(shard_state, daemon, slot_request, now, actions)) {
-    GiveBackAccountToken(dispatcher, slot_request);
+    GiveBackAccountToken(dispatcher, charged_account);
     return actions;
   }
   if (!MayQueue(shard_state, slot_request, now)) {
-    GiveBackAccountToken(dispatcher, slot_request);
+    GiveBackAccountToken(dispatcher, charged_account);
     CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
         SendRefusal{daemon, MakeRefusal(&shard_state, slot_request,
                                         RefusalReason::kOverload, rng)});
     return actions;
   }
-  Enqueue(shard_state, QueuedRequest{daemon, slot_request, now,
-                                     now + slot_request.until_late,
-                                     now + slot_request.until_deadline});
+  Enqueue(
+      shard_state,
+      QueuedRequest{daemon, slot_request, now, now + slot_request.until_late,
+                    now + slot_request.until_deadline, charged_account});
   actions.push_back(
       SendQueuedNotice{daemon, QueuedNotice{slot_request.attempt_id}});
   return actions;
--- a/src/dispatch/dispatcher_type.h
+++ b/src/dispatch/dispatcher_type.h
@@ -36,6 +36,8 @@
   base::TimePoint queued_at{};
   base::TimePoint late_at{};
   base::TimePoint deadline{};
+  // Account whose token the request has taken; empty if it has taken none.
+  base::AccountId charged_account = {};
 };
 
 // Durations of one class of work, computed from the responses of all upstreams.
--- a/src/dispatch/pause_func.cc
+++ b/src/dispatch/pause_func.cc
@@ -45,15 +45,6 @@
   return pause != upstream.paused_daemons.end() && pause->second > now;
 }
 
-bool IsDaemonPausedAnywhere(const ShardState& shard_state,
-                            const base::DaemonId& daemon,
-                            base::TimePoint now) {
-  return std::any_of(shard_state.upstreams.begin(), shard_state.upstreams.end(),
-                     [&](const auto& item) {
-                       return IsDaemonPaused(item.second, daemon, now);
-                     });
-}
-
 std::optional<base::Duration> PauseOfAllUpstreams(
     const ShardState& shard_state,
     const base::DaemonId& daemon,
--- a/src/dispatch/pause_func.h
+++ b/src/dispatch/pause_func.h
@@ -24,11 +24,6 @@
                     const base::DaemonId& daemon,
                     base::TimePoint now);
 
-// Tells whether the daemon is paused at any upstream of the shard.
-bool IsDaemonPausedAnywhere(const ShardState& shard_state,
-                            const base::DaemonId& daemon,
-                            base::TimePoint now);
-
 // Returns the time until the first upstream takes requests of the daemon again
 // if all upstreams that the request could be sent to want none of the daemon,
 // and nothing otherwise.
--- a/src/dispatch/queue_func.cc
+++ b/src/dispatch/queue_func.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 
 #include "base/rng_func.h"
 #include "base/time_func.h"
@@ -23,6 +22,44 @@
 // duration would end after the request's deadline.
 constexpr double kShortDurationShare = 0.7;
 
+// Tells whether an upstream may have a free slot, whoever may use it. The slots
+// of stalled attempts count as free here, as they do for coverage and trials.
+bool HasAnyFreeSlot(const ShardState& shard_state) {
+  return std::any_of(shard_state.upstreams.begin(), shard_state.upstreams.end(),
+                     [](const auto& item) {
+                       const UpstreamState& upstream = item.second;
+                       return upstream.entry.phase ==
+                                  fleet::UpstreamPhase::kReady &&
+                              upstream.running_count <
+                                  upstream.entry.slots + upstream.stalled_count;
+                     });
+}
+
+// Tells whether some upstream is ruled out for this request, so that another
+// one may get a slot where this one does not.
+bool IsRestricted(const ShardState& shard_state,
+                  const QueuedRequest& queued_request,
+                  base::TimePoint now) {
+  return std::any_of(shard_state.upstreams.begin(), shard_state.upstreams.end(),
+                     [&](const auto& item) {
+                       const UpstreamState& upstream = item.second;
+                       return upstream.entry.phase ==
+                                  fleet::UpstreamPhase::kReady &&
+                              !MayBeSentTo(upstream, queued_request.daemon,
+                                           queued_request.slot_request, now);
+                     });
+}
+
+// Leaves out a request that no upstream can take. Without upstreams of its own
+// to avoid, it stands for all requests of its daemon.
+void PassOver(const QueuedRequest& queued_request, PassedOver& passed_over) {
+  if (queued_request.slot_request.avoid.empty())
+    passed_over.daemons.insert(queued_request.daemon);
+  else
+    passed_over.requests.insert(
+        {queued_request.daemon, queued_request.slot_request.attempt_id});
+}
+
 }  // namespace
 
 Refusal MakeRefusal(const ShardState* shard_state,
@@ -40,11 +77,13 @@
                const Placement& placement,
                const base::DaemonId& daemon,
                const SlotRequest& slot_request,
+               const base::AccountId& charged_account,
                base::Duration waited,
                base::TimePoint now,
                Actions& actions) {
-  const RunningAttempt& attempt = AddRunningAttempt(
-      dispatcher, shard_state, placement, daemon, slot_request, waited, now);
+  const RunningAttempt& attempt =
+      AddRunningAttempt(dispatcher, shard_state, placement, daemon,
+                        slot_request, charged_account, waited, now);
   const UpstreamState& upstream = *placement.upstream;
   CountAccountGrant(shard_state, slot_request, now);
   if (!slot_request.is_retry) {
@@ -63,21 +102,22 @@
                 base::TimePoint now,
                 base::Rng& rng,
                 Actions& actions) {
-  std::set<base::DaemonId> passed_over;
+  PassedOver passed_over;
   while (const auto next = NextQueuedIndex(shard_state, passed_over, now)) {
     QueuedRequest& queued_request = shard_state.queue[*next];
     const Placement placement = PlaceRequest(
         shard_state, queued_request.daemon, queued_request.slot_request,
         dispatcher.settings.floor_share, now, rng);
     if (!placement.upstream) {
-      if (!IsDaemonPausedAnywhere(shard_state, queued_request.daemon, now))
+      if (!HasAnyFreeSlot(shard_state) ||
+          !IsRestricted(shard_state, queued_request, now))
         return;
-      passed_over.insert(queued_request.daemon);
+      PassOver(queued_request, passed_over);
       continue;
     }
     GrantSlot(dispatcher, shard_state, placement, queued_request.daemon,
-              queued_request.slot_request, now - queued_request.queued_at, now,
-              actions);
+              queued_request.slot_request, queued_request.charged_account,
+              now - queued_request.queued_at, now, actions);
     shard_state.queue.erase(shard_state.queue.begin() +
                             static_cast<std::ptrdiff_t>(*next));
   }
@@ -106,7 +146,7 @@
   std::erase_if(shard_state.queue, [&](const QueuedRequest& queued_request) {
     if (RefuseIfPaused(shard_state, queued_request.daemon,
                        queued_request.slot_request, now, actions)) {
-      GiveBackAccountToken(dispatcher, queued_request.slot_request);
+      GiveBackAccountToken(dispatcher, queued_request.charged_account);
       return true;
     }
     const base::Duration duration = MeanDuration(
@@ -115,7 +155,7 @@
         queued_request.deadline)
       return false;
     CountUnserved(shard_state.loss_stats, 1, now);
-    GiveBackAccountToken(dispatcher, queued_request.slot_request);
+    GiveBackAccountToken(dispatcher, queued_request.charged_account);
     actions.push_back(
         SendRefusal{queued_request.daemon,
                     MakeRefusal(&shard_state, queued_request.slot_request,
@@ -132,7 +172,7 @@
       if (queued_request.daemon != daemon ||
           queued_request.slot_request.attempt_id != attempt_id)
         return false;
-      GiveBackAccountToken(dispatcher, queued_request.slot_request);
+      GiveBackAccountToken(dispatcher, queued_request.charged_account);
       return true;
     });
   }
--- a/src/dispatch/queue_func.h
+++ b/src/dispatch/queue_func.h
@@ -14,19 +14,22 @@
                     RefusalReason reason,
                     base::Rng& rng);
 
-// Grants the slot of a placement, which must have an upstream. `waited` is the
-// time that the request spent in the queue.
+// Grants the slot of a placement, which must have an upstream.
+// `charged_account` is the account whose token the request has taken, empty if
+// none; `waited` is the time that it spent in the queue.
 void GrantSlot(Dispatcher& dispatcher,
                ShardState& shard_state,
                const Placement& placement,
                const base::DaemonId& daemon,
                const SlotRequest& slot_request,
+               const base::AccountId& charged_account,
                base::Duration waited,
                base::TimePoint now,
                Actions& actions);
 
-// Grants free slots to queued requests. Requests of a daemon that is paused at
-// some upstreams do not hold up those of others.
+// Grants free slots to queued requests. A request that may not be sent to the
+// upstreams with free slots does not hold up those behind it: it avoids them,
+// or its daemon is paused there or has no path to them.
 void ServeQueue(Dispatcher& dispatcher,
                 ShardState& shard_state,
                 base::TimePoint now,
--- a/src/dispatch/running_attempt_func.cc
+++ b/src/dispatch/running_attempt_func.cc
@@ -4,7 +4,6 @@
 #include <vector>
 
 #include "base/time_func.h"
-#include "dispatch/account_limit_func.h"
 #include "dispatch/coverage_func.h"
 #include "dispatch/daemon_outcome_func.h"
 #include "dispatch/fault_estimate_func.h"
@@ -107,6 +106,7 @@
                                         const Placement& placement,
                                         const base::DaemonId& daemon,
                                         const SlotRequest& slot_request,
+                                        const base::AccountId& charged_account,
                                         base::Duration waited,
                                         base::TimePoint now) {
   UpstreamState& upstream = *placement.upstream;
@@ -120,7 +120,7 @@
   attempt.work_class = slot_request.work_class;
   attempt.must_succeed = MustSucceed(slot_request) && !slot_request.is_hedge;
   attempt.fingerprints = slot_request.fingerprints;
-  attempt.charged_account = ChargedAccount(slot_request);
+  attempt.charged_account = charged_account;
   attempt.granted_at = now;
   attempt.retry_at =
       now + StallTime(shard_state, upstream, slot_request, kRetryFactor, now);
--- a/src/dispatch/running_attempt_func.h
+++ b/src/dispatch/running_attempt_func.h
@@ -7,12 +7,14 @@
 namespace poplarfork::dispatch {
 
 // Adds the attempt for which a slot of the placement's upstream is granted, and
-// takes the slot. `waited` is the time that the request spent in the queue.
+// takes the slot. `charged_account` is the account whose token the request has
+// taken, empty if none; `waited` is the time that it spent in the queue.
 const RunningAttempt& AddRunningAttempt(Dispatcher& dispatcher,
                                         ShardState& shard_state,
                                         const Placement& placement,
                                         const base::DaemonId& daemon,
                                         const SlotRequest& slot_request,
+                                        const base::AccountId& charged_account,
                                         base::Duration waited,
                                         base::TimePoint now);
 
--- a/tests/dispatch/account_limit_test.cc
+++ b/tests/dispatch/account_limit_test.cc
@@ -147,6 +147,73 @@
   BOOST_TEST(this->Tokens() == -1);
 }
 
+// Guards against a request that pays twice: its grant was lost, and the
+// upstream was removed before the daemon repeated the slot request.
+BOOST_FIXTURE_TEST_CASE(GrantOfRemovedUpstreamIsPaidOnce, LimitedFixture) {
+  OnUpstreamRecord(this->dispatcher, MakeUpstreamRecord("u1", 8), this->now,
+                   this->rng);
+  const SlotRequest slot_request = this->MakeRequest();
+  const Grant* lost = this->RequestSlot("d", slot_request);
+  BOOST_REQUIRE(lost);
+  fleet::UpstreamRecord removal = MakeUpstreamRecord(lost->upstream.value, 8);
+  removal.removed = true;
+  OnUpstreamRecord(this->dispatcher, removal, this->now, this->rng);
+  const Grant* grant = this->RequestSlot("d", slot_request);
+  BOOST_REQUIRE(grant);
+  BOOST_TEST(this->Tokens() == -1);
+  BOOST_TEST(this->dispatcher.running_attempts.size() == 1U);
+  // The lost grant may have been used after all, so the second one gives
+  // nothing back.
+  this->EndAttempt("d", Grant(*grant), Outcome::kUnused);
+  BOOST_TEST(this->Tokens() == -1);
+}
+
+// Guards against tokens that were never taken and are given back: a limit that
+// comes into force while requests wait would be exceeded by their number.
+BOOST_FIXTURE_TEST_CASE(RequestsBeforeTheLimitGiveNothingBack, FullFixture) {
+  const allowance::AccountTable limited = this->dispatcher.balances.accounts;
+  this->dispatcher.balances.accounts = nullptr;
+  SlotRequest withdrawn = this->MakeRequest();
+  withdrawn.until_late = milliseconds(1800);
+  BOOST_TEST(!this->RequestSlot("d", withdrawn));
+  BOOST_TEST(!this->FindRefusal());
+  SlotRequest expired = this->MakeRequest();
+  expired.until_late = milliseconds(1800);
+  BOOST_TEST(!this->RequestSlot("d", expired));
+  BOOST_TEST(!this->FindRefusal());
+  this->dispatcher.balances.accounts = limited;
+  // Takes the only token.
+  SlotRequest paid = this->MakeRequest();
+  paid.until_late = milliseconds(1800);
+  BOOST_TEST(!this->RequestSlot("d", paid));
+  BOOST_TEST(!this->FindRefusal());
+  BOOST_TEST(this->Tokens() == -1);
+  OnWithdrawal(this->dispatcher, {"d"}, {withdrawn.attempt_id});
+  BOOST_TEST(this->Tokens() == -1);
+  OnWithdrawal(this->dispatcher, {"d"}, {paid.attempt_id});
+  BOOST_TEST(this->Tokens() == 0);
+  this->KillDaemons();
+  this->now += seconds(3);
+  this->actions = OnTick(this->dispatcher, this->now, this->rng);
+  BOOST_REQUIRE(this->FindRefusal());
+  BOOST_TEST((this->FindRefusal()->reason == RefusalReason::kExpired));
+  BOOST_TEST(this->Tokens() == 0);
+}
+
+// The same for a grant from before the limit that is returned unused.
+BOOST_FIXTURE_TEST_CASE(GrantBeforeTheLimitGivesNothingBack, LimitedFixture) {
+  const allowance::AccountTable limited = this->dispatcher.balances.accounts;
+  this->dispatcher.balances.accounts = nullptr;
+  const Grant* grant = this->RequestSlot("d", this->MakeRequest());
+  BOOST_REQUIRE(grant);
+  const Grant unused = *grant;
+  this->dispatcher.balances.accounts = limited;
+  BOOST_TEST(this->RequestSlot("d", this->MakeRequest()));
+  BOOST_TEST(this->Tokens() == -1);
+  this->EndAttempt("d", unused, Outcome::kUnused);
+  BOOST_TEST(this->Tokens() == -1);
+}
+
 // Guards against limits on accounts that have none.
 BOOST_FIXTURE_TEST_CASE(AccountsWithoutLimitAreNotRefused, LimitedFixture) {
   for (int i = 0; i < 5; ++i) {
