Split the code for crashes and the dispatcher's tests by topic

Whether an upstream has crashed is found out in crash_suspicion_func, and the tests of crashing requests are in crash_containment_test. Behaviour is unchanged.

--- a/src/dispatch/crash_func.h
+++ b/src/dispatch/crash_func.h
@@ -35,31 +35,6 @@
                         base::TimePoint now,
                         Actions& actions);
 
-// Finds out from a changed entry whether an upstream whose connections broke
-// has ended: its entry is removed, it has started again, or another upstream
-// has its address. Has to be called before the change is applied.
-void CheckForRestart(Dispatcher& dispatcher,
-                     const fleet::UpstreamRecord& record,
-                     base::TimePoint now,
-                     Actions& actions);
-
-// Handles the result of a probe, which shows whether an upstream whose
-// connections broke has crashed. Returns false if no crash was looked for.
-bool HandleCrashProbeResult(Dispatcher& dispatcher,
-                            const base::UpstreamId& upstream,
-                            ProbeResult result,
-                            base::TimePoint now,
-                            Actions& actions);
-
-// Probes the upstreams at which a broken connection may have been a crash and
-// nobody has found out yet.
-void StartDueCrashProbes(Dispatcher& dispatcher,
-                         base::TimePoint now,
-                         Actions& actions);
-
-// Tells whether probes may become due.
-bool NeedsCrashProbes(const Dispatcher& dispatcher, base::TimePoint now);
-
 // Drops the records of fingerprints that have caused no crash recently, and
 // suspicions for which no evidence was found in time.
 void ExpireCrashRecords(Dispatcher& dispatcher, base::TimePoint now);
--- a/src/dispatch/crash_record_func.cc
+++ b/src/dispatch/crash_record_func.cc
@@ -6,6 +6,11 @@
 
 namespace {
 
+// Crashed upstreams are looked for once a fingerprint has broken this many
+// connections. Connections break for many reasons, but seldom twice for the
+// same request.
+constexpr std::uint32_t kSuspiciousBreaks = 2;
+
 // Time for which a fingerprint is refused after the third crash. It doubles
 // with each further one until the fingerprint is refused for good.
 constexpr base::Duration kFirstRefusalTime = std::chrono::seconds(60);
@@ -108,6 +113,17 @@
 
 }  // namespace
 
+CrashRecord* FindCrashRecord(Dispatcher& dispatcher, Fingerprint fingerprint) {
+  const auto found = dispatcher.crashes.find(fingerprint);
+  return found == dispatcher.crashes.end() ? nullptr : &found->second;
+}
+
+bool IsSuspicious(const Dispatcher& dispatcher, Fingerprint fingerprint) {
+  const auto found = dispatcher.crashes.find(fingerprint);
+  return found != dispatcher.crashes.end() &&
+         found->second.breaks >= kSuspiciousBreaks;
+}
+
 bool IsRefused(const CrashRecord& record) {
   return record.crashes >= kMaxCrashes && !record.has_one_query;
 }
--- a/src/dispatch/crash_record_func.h
+++ b/src/dispatch/crash_record_func.h
@@ -20,6 +20,13 @@
 // Upper limit of the notices in one datagram.
 inline constexpr std::size_t kMaxCrashNotices = 24;
 
+// Returns the record of a fingerprint, or null if there is none.
+CrashRecord* FindCrashRecord(Dispatcher& dispatcher, Fingerprint fingerprint);
+
+// Tells whether requests with the fingerprint have broken so many connections
+// that crashed upstreams are looked for.
+bool IsSuspicious(const Dispatcher& dispatcher, Fingerprint fingerprint);
+
 // Tells whether requests are refused for the crashes that were counted.
 bool IsRefused(const CrashRecord& record);
 
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -8,6 +8,7 @@
 #include "dispatch/admission_func.h"
 #include "dispatch/coverage_func.h"
 #include "dispatch/crash_func.h"
+#include "dispatch/crash_suspicion_func.h"
 #include "dispatch/daemon_outcome_func.h"
 #include "dispatch/handover_func.h"
 #include "dispatch/hedge_func.h"
