Answer requests that arrive while their connection closes

The review of pipelining found these faults in the sessions of callers:

- After its last response a connection was closed at once if no input was unread.
A request that the caller sent a moment later reset the connection, and the part of the response still in the kernel was lost.
- While the server drained, a new connection was closed as idle before its first request, and so was any connection on which a request had arrived that had not been read.
The same happened at the idle timeout.
- A request of which the rest arrived behind a response that closes the connection was started, although it counts as not read.

--- a/src/edge/session.h
+++ b/src/edge/session.h
@@ -112,6 +112,8 @@
   std::shared_ptr<Exchange> GetHandle(ExchangeNumber number,
                                       const ExchangeState& state);
   void CloseAndDrop();
+  bool IsNew() const;
+  bool HasArrivedRequest() const;
   void CloseAfterResponse();
   void DiscardInput();
   void CloseSocket();
--- a/src/edge/session_end.cc
+++ b/src/edge/session_end.cc
@@ -88,7 +88,10 @@
     this->context->handlers.on_caller_disconnected(writing);
     return;
   }
-  const bool must_close = this->context->is_draining && !this->is_discarding;
+  const bool must_close =
+      this->context->is_draining && !this->is_discarding && !this->IsNew();
+  if (is_idle && this->HasArrivedRequest())
+    return;
   if (is_idle && (must_close || now >= this->read_deadline)) {
     this->CloseAndDrop();
     return;
@@ -104,22 +107,34 @@
     this->OnCallerClosed();
 }
 
-// Closing a socket with unread input resets the connection, and the response
-// may be lost before the caller has read it (RFC 9112 section 9.6). Input is
-// therefore discarded until the caller closes the connection.
+// Returns whether no request of the connection has been received. A caller
+// sends its first request right after it has connected, and takes a connection
+// that closes without a response to it for a failure.
+bool Session::IsNew() const {
+  return this->next_exchange_number == 1;
+}
+
+// Returns whether the start of a request has arrived that has not been read.
+bool Session::HasArrivedRequest() const {
+  error_code ignored;
+  return !this->is_discarding && this->socket.available(ignored) > 0;
+}
+
+// Input that arrives at a closed socket, or is unread when it is closed, resets
+// the connection, and the part of the response that the caller has not received
+// yet is lost (RFC 9112 section 9.6). Input is therefore discarded until the
+// caller closes the connection.
 void Session::CloseAfterResponse() {
-  error_code error;
-  const bool has_unread_input =
-      this->socket.available(error) > 0 || this->read_phase != ReadPhase::kNone;
-  if (error || !has_unread_input) {
-    this->CloseAndDrop();
-    return;
-  }
   this->StopReading();
+  this->Drop(EndAll(this->pipeline));
   this->is_discarding = true;
   this->read_deadline = clock::Now() + kDiscardTimeout;
+  error_code error;
   this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-  this->DiscardInput();
+  if (error)
+    this->CloseAndDrop();
+  else
+    this->DiscardInput();
 }
 
 void Session::DiscardInput() {
--- a/src/edge/session_reading.cc
+++ b/src/edge/session_reading.cc
@@ -36,6 +36,11 @@
 // has closed the connection; on an idle connection, it detects the start of the
 // next request.
 void Session::ContinueReading() {
+  // A request behind a response that closes the connection counts as not read.
+  const bool is_reading = this->read_phase == ReadPhase::kReading ||
+                          this->read_phase == ReadPhase::kBodyHeld;
+  if (is_reading && !this->pipeline.accepts_requests)
+    this->StopReading();
   if (this->read_phase == ReadPhase::kBodyHeld)
     this->ReadBodyIfAllowed();
   if (this->read_phase != ReadPhase::kNone) {
