Reserve the address of the absent peer in a test

MessagesForAnAbsentPeerAreDroppedNotQueued sent to the address of a transport that it had just closed. Messages reached that socket, so no other process had taken the port. The address is now one that is bound but not listened on for the duration of the test; the checks are unchanged.

--- a/tests/peer/transport_test.cc
+++ b/tests/peer/transport_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <zmq.hpp>
 
 #include "base/error_func.h"
@@ -77,6 +78,24 @@
   BOOST_TEST(result.has_value());
 }
 
+// An address of the loopback interface at which connections are refused. The
+// port stays bound, so that no other process can listen on it.
+class ReservedAddress {
+ public:
+  ReservedAddress()
+      : socket(this->loop, {boost::asio::ip::make_address("127.0.0.1"), 0}) {}
+
+  base::DaemonId GetPeer() const {
+    return {"127.0.0.1:" +
+            std::to_string(this->socket.local_endpoint().port())};
+  }
+
+ private:
+  boost::asio::io_context loop;
+  // Bound, but not listening.
+  boost::asio::ip::tcp::socket socket;
+};
+
 // Returns options with a new CURVE key pair.
 TransportOptions MakeCurveOptions() {
   std::string public_key(40, ' ');
@@ -221,13 +240,14 @@
 }
 
 // Guards against stale messages that reach a peer when it returns. No message
-// may wait longer than the handshake timeout.
+// may wait longer than the handshake timeout. The address is not one of a
+// closed transport, because ZeroMQ closes a listening socket in its own thread,
+// and connections are still accepted for a moment after CloseTransport().
 BOOST_AUTO_TEST_CASE(MessagesForAnAbsentPeerAreDroppedNotQueued) {
   boost::asio::io_context loop;
   const auto left = OpenPeer(loop, {});
-  const auto closed_peer = OpenPeer(loop, {});
-  const base::DaemonId peer = closed_peer->transport->self;
-  CloseTransport(*closed_peer->transport);
+  const ReservedAddress reserved_address;
+  const base::DaemonId peer = reserved_address.GetPeer();
   int refused = 0;
   for (int i = 0; i < 100; ++i)
     refused +=
