--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -30,10 +30,6 @@
 // is.
 constexpr base::Duration kDispatcherIdleTimeout = std::chrono::seconds(3);
 
-// Retry-After while the service has no upstream or none is known yet. Upstreams
-// that are starting write their entries within about this time.
-constexpr base::Duration kNoUpstreamRetryAfter = std::chrono::milliseconds(500);
-
 bool IsActive(const ShardState& shard_state, base::TimePoint now) {
   return !shard_state.queue.empty() ||
          now - shard_state.last_slot_request_at < kDispatcherIdleTimeout;
--- a/src/dispatch/dispatcher_func.h
+++ b/src/dispatch/dispatcher_func.h
@@ -50,6 +50,11 @@
 // are queued, or upstreams are suspended.
 bool NeedsTick(const Dispatcher& dispatcher, base::TimePoint now);
 
+// Retry-After while the service has no upstream or none is known yet. Upstreams
+// that are starting write their entries within about this time.
+inline constexpr base::Duration kNoUpstreamRetryAfter =
+    std::chrono::milliseconds(500);
+
 inline constexpr base::Duration kTickInterval = std::chrono::milliseconds(50);
 
 }  // namespace poplarfork::dispatch
--- a/src/dispatch/placement_func.cc
+++ b/src/dispatch/placement_func.cc
@@ -37,9 +37,6 @@
 // A service may have no repeatable requests at all. After this time on trial,
 // an upstream gets last attempts as well.
 constexpr base::Duration kRepeatableTrialTime = std::chrono::milliseconds(3000);
-// Upper limit of a random cost that breaks ties, so that idle upstreams share
-// the requests.
-constexpr double kTieBreakNoise = 0.05;
 
 // Cost of the data centre of the running attempt for a hedge. It is above what
 // an equally used upstream of another data centre costs.
@@ -61,18 +58,6 @@
              : 0;
 }
 
-bool IsUsable(const UpstreamState& upstream,
-              const base::DaemonId& daemon,
-              const SlotRequest& slot_request,
-              bool below_floor,
-              base::TimePoint now) {
-  if (!MayBeSentTo(upstream, daemon, slot_request, now))
-    return false;
-  if (upstream.health_status == HealthStatus::kSuspended)
-    return below_floor;
-  return true;
-}
-
 // Returns the number of stalled attempts at an upstream on trial. They still
 // use slots, but whether they still count against the upstream is decided by
 // the trial, so the trial does not wait for their deadlines.
@@ -82,36 +67,6 @@
              : 0;
 }
 
-double PlacementCost(const UpstreamState& upstream,
-                     const SlotRequest& slot_request,
-                     base::TimePoint now,
-                     base::Rng& rng) {
-  const std::uint32_t used = upstream.running_count -
-                             StalledBeforeTrial(upstream) +
-                             RecentForeignRequests(upstream, now);
-  double cost = (used + 1.0) / upstream.entry.slots *
-                std::clamp(upstream.slowness, 0.5, 4.0);
-  const bool must_succeed = MustSucceed(slot_request);
-  const bool is_trial = upstream.health_status == HealthStatus::kTrial;
-  cost += FaultProbability(upstream, now) *
-          (must_succeed ? kFaultCostLastAttempt : kFaultCost);
-  cost += kShedCost * ShedShare(upstream, now);
-  if (upstream.entry.cold_until > now)
-    cost += kColdCost;
-  if (upstream.entry.data_centre != slot_request.data_centre)
-    cost += kOtherDataCentreCost;
-  if (is_trial) {
-    const bool wait_for_others =
-        now - upstream.trial_started_at < kRepeatableTrialTime;
-    cost += !must_succeed     ? kTrialCost
-            : wait_for_others ? kTrialCostLastAttempt
-                              : 0;
-  }
-  if (upstream.health_status == HealthStatus::kSuspended)
-    cost += kTrialCostLastAttempt;
-  return cost + kTieBreakNoise * base::Uniform01(rng);
-}
-
 // Returns the number of slots that may be used. An upstream on trial begins
 // with one slot and gains one with each successful trial request.
 std::uint32_t UsableSlots(const UpstreamState& upstream) {
@@ -126,20 +81,24 @@
          FreeSlots(upstream, now) > 0;
 }
 
-// Tells whether so many upstreams are suspended that those left are below the
-// floor. The suspended ones are then used again, because the failures may have
-// a common cause and the remaining upstreams could not carry the load.
-bool IsBelowFloor(const ShardState& shard_state, double floor_share) {
-  std::size_t ready = 0;
-  std::size_t usable = 0;
-  for (const auto& [id, upstream] : shard_state.upstreams) {
-    if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
-      continue;
-    ++ready;
-    usable += upstream.health_status != HealthStatus::kSuspended ? 1 : 0;
-  }
-  return static_cast<double>(usable) <
-         (1 - floor_share) * static_cast<double>(ready);
+// Returns why a request of `daemon` may not be sent to the upstream as far as
+// its entry and the paths to it are concerned; nothing if it may.
+std::optional<Exclusion> FindPathExclusion(const UpstreamState& upstream,
+                                           const base::DaemonId& daemon,
+                                           const SlotRequest& slot_request,
+                                           base::TimePoint now) {
+  if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
+    return Exclusion::kDraining;
+  if (std::find(slot_request.avoid.begin(), slot_request.avoid.end(),
+                upstream.entry.id) != slot_request.avoid.end())
+    return Exclusion::kAvoided;
+  if (IsDaemonPaused(upstream, daemon, now))
+    return Exclusion::kDaemonPaused;
+  const auto path_failure = upstream.path_failures.find(daemon);
+  if (path_failure != upstream.path_failures.end() &&
+      path_failure->second.avoid_until > now)
+    return Exclusion::kPathFailed;
+  return std::nullopt;
 }
 
 }  // namespace
@@ -158,16 +117,70 @@
                  const base::DaemonId& daemon,
                  const SlotRequest& slot_request,
                  base::TimePoint now) {
-  if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
-    return false;
-  if (std::find(slot_request.avoid.begin(), slot_request.avoid.end(),
-                upstream.entry.id) != slot_request.avoid.end())
-    return false;
-  if (IsDaemonPaused(upstream, daemon, now))
-    return false;
-  const auto path_failure = upstream.path_failures.find(daemon);
-  return path_failure == upstream.path_failures.end() ||
-         path_failure->second.avoid_until <= now;
+  return !FindPathExclusion(upstream, daemon, slot_request, now);
+}
+
+std::optional<Exclusion> FindExclusion(const UpstreamState& upstream,
+                                       const base::DaemonId& daemon,
+                                       const SlotRequest& slot_request,
+                                       bool below_floor,
+                                       base::TimePoint now) {
+  const auto path_exclusion =
+      FindPathExclusion(upstream, daemon, slot_request, now);
+  if (path_exclusion)
+    return path_exclusion;
+  if (upstream.health_status == HealthStatus::kSuspended && !below_floor)
+    return Exclusion::kSuspended;
+  if (!HasFreeSlot(upstream, now)) {
+    const bool trial_full = upstream.health_status == HealthStatus::kTrial &&
+                            FreeSlots(upstream, now) > 0;
+    return trial_full ? Exclusion::kTrialFull : Exclusion::kNoFreeSlot;
+  }
+  if (!IsWithinLimit(upstream, now))
+    return Exclusion::kStatedLimit;
+  return std::nullopt;
+}
+
+bool IsBelowFloor(const ShardState& shard_state, double floor_share) {
+  std::size_t ready = 0;
+  std::size_t usable = 0;
+  for (const auto& [id, upstream] : shard_state.upstreams) {
+    if (upstream.entry.phase != fleet::UpstreamPhase::kReady)
+      continue;
+    ++ready;
+    usable += upstream.health_status != HealthStatus::kSuspended ? 1 : 0;
+  }
+  return static_cast<double>(usable) <
+         (1 - floor_share) * static_cast<double>(ready);
+}
+
+double PlacementCost(const UpstreamState& upstream,
+                     const SlotRequest& slot_request,
+                     base::TimePoint now) {
+  const std::uint32_t used = upstream.running_count -
+                             StalledBeforeTrial(upstream) +
+                             RecentForeignRequests(upstream, now);
+  double cost = (used + 1.0) / upstream.entry.slots *
+                std::clamp(upstream.slowness, 0.5, 4.0);
+  const bool must_succeed = MustSucceed(slot_request);
+  const bool is_trial = upstream.health_status == HealthStatus::kTrial;
+  cost += FaultProbability(upstream, now) *
+          (must_succeed ? kFaultCostLastAttempt : kFaultCost);
+  cost += kShedCost * ShedShare(upstream, now);
+  if (upstream.entry.cold_until > now)
+    cost += kColdCost;
+  if (upstream.entry.data_centre != slot_request.data_centre)
+    cost += kOtherDataCentreCost;
+  if (is_trial) {
+    const bool wait_for_others =
+        now - upstream.trial_started_at < kRepeatableTrialTime;
+    cost += !must_succeed     ? kTrialCost
+            : wait_for_others ? kTrialCostLastAttempt
+                              : 0;
+  }
+  if (upstream.health_status == HealthStatus::kSuspended)
+    cost += kTrialCostLastAttempt;
+  return cost;
 }
 
 Placement PlaceRequest(ShardState& shard_state,
@@ -183,10 +196,10 @@
   UpstreamState* best = nullptr;
   double best_cost = 0;
   for (auto& [id, upstream] : shard_state.upstreams) {
-    if (!IsUsable(upstream, daemon, slot_request, below_floor, now) ||
-        !HasFreeSlot(upstream, now) || !IsWithinLimit(upstream, now))
+    if (FindExclusion(upstream, daemon, slot_request, below_floor, now))
       continue;
-    const double cost = PlacementCost(upstream, slot_request, now, rng);
+    const double cost = PlacementCost(upstream, slot_request, now) +
+                        kTieBreakNoise * base::Uniform01(rng);
     if (!best || cost < best_cost) {
       best = &upstream;
       best_cost = cost;
@@ -215,7 +228,8 @@
     const bool is_same_data_centre =
         running != shard_state.upstreams.end() &&
         running->second.entry.data_centre == upstream.entry.data_centre;
-    const double cost = PlacementCost(upstream, slot_request, now, rng) +
+    const double cost = PlacementCost(upstream, slot_request, now) +
+                        kTieBreakNoise * base::Uniform01(rng) +
                         (is_same_data_centre ? kSameDataCentreHedgeCost : 0);
     if (!best || cost < best_cost) {
       best = &upstream;
