Add poplarfork where, which explains where a request would go

A gateway responds to GET /where on its control address with the configuration in force, the route, the account, the dispatcher of each shard, and, at a dispatcher, the candidates, the excluded upstreams and the outcome. No state changes. The command asks the gateway, then each dispatcher once for its shard, and prints a table or JSON. It takes the account by name and no key.

Routes keep whether their class is download, which the answer shows. Requests to an admin API have a timeout of their own each, because this command waits 5 s.

--- a/src/cli/admin_client_func.cc
+++ b/src/cli/admin_client_func.cc
@@ -2,7 +2,6 @@
 
 #include <cpprest/http_client.h>
 
-#include <chrono>
 #include <system_error>
 #include <vector>
 
@@ -10,10 +9,6 @@
 
 namespace {
 
-// Publishing a note takes up to 7 s, and longer if the daemon has other
-// publications to finish first.
-constexpr std::chrono::seconds kAdminRequestTimeout(20);
-
 web::http::http_request MakeHttpRequest(const AdminRequest& request) {
   web::http::http_request http_request(
       request.is_post ? web::http::methods::POST : web::http::methods::GET);
@@ -49,7 +44,7 @@
   AdminResponse admin_response;
   try {
     web::http::client::http_client_config config;
-    config.set_timeout(kAdminRequestTimeout);
+    config.set_timeout(request.timeout);
     web::http::client::http_client client("http://" + request.daemon_address,
                                           config);
     const web::http::http_response http_response =
--- a/src/cli/admin_client_func.h
+++ b/src/cli/admin_client_func.h
@@ -4,7 +4,7 @@
 
 namespace poplarfork::cli {
 
-// Sends the request and waits for the response, at most 20 s.
+// Sends the request and waits for the response until its timeout.
 AdminResponse SendAdminRequest(const AdminRequest& request);
 
 }  // namespace poplarfork::cli
--- a/src/cli/admin_client_type.h
+++ b/src/cli/admin_client_type.h
@@ -1,20 +1,25 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 
 namespace poplarfork::cli {
 
-// A request to a daemon's admin API.
+// A request to a daemon's admin API or to a gateway's control address.
 struct AdminRequest {
-  // The "IP:port" of the daemon's admin API.
+  // The "IP:port" of the daemon's admin API or of the gateway's control
+  // address.
   std::string daemon_address;
-  // The path starts with "/admin/v1/".
+  // The path starts with "/admin/v1/" at a daemon. It may have a query.
   std::string path;
   // A release note in YAML. Body and note id are sent only if `is_post` is
   // true.
   std::string body;
   std::string note_id;
   bool is_post = false;
+  // Publishing a note takes up to 7 s, and longer if the daemon has other
+  // publications to finish first.
+  std::chrono::seconds timeout{20};
 };
 
 // How a request to the admin API ended.
--- a/src/cli/cli_main.cc
+++ b/src/cli/cli_main.cc
@@ -23,6 +23,15 @@
           "explain: log files of gateways that are read instead of asking a "
           "daemon");
 
+ABSL_FLAG(std::string,
+          gateway,
+          "",
+          "where: IP:port of a gateway's control address");
+ABSL_FLAG(std::string, method, "", "where: method of the request");
+ABSL_FLAG(std::string, path, "", "where: path of the request");
+ABSL_FLAG(std::string, host, "", "where: host name of the request");
+ABSL_FLAG(std::string, account, "", "where: name of the client account");
+
 namespace {
 
 int ToProcessExitCode(poplarfork::cli::ExitCode code) {
@@ -46,8 +55,13 @@
   absl::SetProgramUsageMessage(cli::UsageText());
   const std::vector<char*> positional = absl::ParseCommandLine(argc, argv);
   const cli::FlagValues flags{
-      absl::GetFlag(FLAGS_daemon), absl::GetFlag(FLAGS_note_id),
-      absl::GetFlag(FLAGS_output), absl::GetFlag(FLAGS_logs)};
+      absl::GetFlag(FLAGS_daemon),
+      absl::GetFlag(FLAGS_note_id),
+      absl::GetFlag(FLAGS_output),
+      absl::GetFlag(FLAGS_logs),
+      {absl::GetFlag(FLAGS_gateway), absl::GetFlag(FLAGS_method),
+       absl::GetFlag(FLAGS_path), absl::GetFlag(FLAGS_host),
+       absl::GetFlag(FLAGS_account)}};
   const auto options = cli::ParseOptions(
       std::vector<std::string>(positional.begin() + 1, positional.end()),
       flags);
--- a/src/cli/command_func.cc
+++ b/src/cli/command_func.cc
@@ -9,6 +9,7 @@
 #include "cli/explain_logs_func.h"
 #include "cli/publish_command_func.h"
 #include "cli/table_func.h"
+#include "cli/where_command_func.h"
 #include "note/configuration_codec_func.h"
 #include "note/diff_func.h"
 #include "note/parse_note_func.h"
@@ -176,6 +177,8 @@
       return RunExplain(options, environment);
     case Command::kHistory:
       return ShowResource(options, environment, "/admin/v1/history");
+    case Command::kWhere:
+      return RunWhere(options, environment);
   }
   return CommandResult{ExitCode::kUsageError, "", ""};
 }
--- a/src/cli/options_func.cc
+++ b/src/cli/options_func.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <string_view>
 #include <utility>
 
 #include "base/error_func.h"
+#include "settings/text_format_func.h"
 
 namespace poplarfork::cli {
 
@@ -24,7 +26,7 @@
   const char* summary;
 };
 
-constexpr std::array<CommandSpec, 6> kCommands = {{
+constexpr std::array<CommandSpec, 7> kCommands = {{
     {"check", Command::kCheck, "FILE", false,
      "checks a release note without sending it"},
     {"diff", Command::kDiff, "FILE", true,
@@ -34,10 +36,13 @@
     {"explain", Command::kExplain, "REQUEST_ID", true,
      "shows why a request was handled as it was"},
     {"history", Command::kHistory, "", true, "lists the newest revisions"},
+    {"where", Command::kWhere, "", false,
+     "shows to which upstream a gateway would send a request, and why"},
 }};
 
-constexpr std::array<std::string_view, 5> kFlagNames = {
-    "--daemon", "--note_id", "--output", "--logs", "--help"};
+constexpr std::array<std::string_view, 10> kFlagNames = {
+    "--daemon", "--note_id", "--output", "--logs",    "--gateway",
+    "--method", "--path",    "--host",   "--account", "--help"};
 constexpr std::string_view kHelpFlag = "--help";
 
 base::Error MakeOptionError(ErrorCode code,
@@ -69,12 +74,43 @@
   return spec.argument[0] != '\0';
 }
 
+// Checks the flags that describe a request. Fails with kMissing or kOutOfRange
+// and the name of the flag.
+base::Result<void> CheckWhereOptions(const WhereOptions& where) {
+  const std::string address_format =
+      settings::DescribeAcceptedFormat(settings::TextFormat::kEndpoint);
+  if (where.gateway_address.empty())
+    return MakeOptionError(ErrorCode::kMissing, "--gateway",
+                           "accepted: " + address_format);
+  if (!settings::MatchesFormat(where.gateway_address,
+                               settings::TextFormat::kEndpoint))
+    return MakeOptionError(
+        ErrorCode::kOutOfRange, "--gateway",
+        "'" + where.gateway_address + "'; accepted: " + address_format);
+  const bool is_method =
+      !where.method.empty() && std::ranges::all_of(where.method, [](char c) {
+        return std::isalpha(static_cast<unsigned char>(c)) != 0;
+      });
+  if (!is_method)
+    return MakeOptionError(
+        where.method.empty() ? ErrorCode::kMissing : ErrorCode::kOutOfRange,
+        "--method", "'" + where.method + "'; accepted: a method such as GET");
+  if (!where.path.starts_with('/'))
+    return MakeOptionError(
+        where.path.empty() ? ErrorCode::kMissing : ErrorCode::kOutOfRange,
+        "--path",
+        "'" + where.path + "'; accepted: a path that begins with a slash");
+  return boost::outcome_v2::success();
+}
+
 }  // namespace
 
 std::string UsageText() {
   std::string text =
       "poplarfork COMMAND [ARGUMENT] [--daemon=IP:PORT] [--note_id=ID] "
-      "[--output=table|json] [--logs=FILE,...]\n\n";
+      "[--output=table|json] [--logs=FILE,...]\n"
+      "poplarfork where --gateway=IP:PORT --method=GET --path=/PATH "
+      "[--host=HOST] [--account=NAME] [--output=table|json]\n\n";
   for (const CommandSpec& spec : kCommands) {
     std::string command_column =
         std::string("  ") + spec.name + " " + spec.argument;
@@ -95,7 +131,8 @@
     const std::string name = argument.substr(0, argument.find('='));
     if (std::ranges::find(kFlagNames, name) == kFlagNames.end()) {
       return MakeOptionError(ErrorCode::kUnknownKey, name,
-                             "accepted: --daemon, --note_id, --output, --logs");
+                             "accepted: --daemon, --note_id, --output, --logs, "
+                             "--gateway, --method, --path, --host, --account");
     }
     const bool has_value = argument.size() > name.size();
     if (has_value || name == kHelpFlag)
@@ -136,12 +173,18 @@
         ErrorCode::kMissing, "--daemon",
         "accepted: --daemon=IP:PORT of a daemon's admin API");
   }
+  if (spec->command == Command::kWhere) {
+    const auto check = CheckWhereOptions(flags.where);
+    if (!check.has_value())
+      return check.error();
+  }
   Options options;
   options.command = spec->command;
   options.argument = TakesArgument(*spec) ? positional[1] : std::string();
   options.daemon_address = flags.daemon_address;
   options.note_id = flags.note_id;
   options.logs = flags.logs;
+  options.where = flags.where;
   options.output =
       flags.output == "json" ? OutputFormat::kJson : OutputFormat::kTable;
   return options;
--- a/src/cli/options_type.h
+++ b/src/cli/options_type.h
@@ -12,6 +12,7 @@
   kStatus,
   kExplain,
   kHistory,
+  kWhere,
 };
 
 enum class OutputFormat {
@@ -19,6 +20,18 @@
   kJson,
 };
 
+// A caller's request whose upstream `where` explains.
+struct WhereOptions {
+  // The "IP:port" of a gateway's control address.
+  std::string gateway_address;
+  std::string method;
+  std::string path;
+  // Host name of the request; may be empty.
+  std::string host = {};
+  // Name of the client account; empty if there is none.
+  std::string account = {};
+};
+
 // The values of the flags as they were given.
 struct FlagValues {
   std::string daemon_address;
@@ -26,6 +39,7 @@
   std::string output = "table";
   // The names of log files of gateways; used by explain only.
   std::vector<std::string> logs = {};
+  WhereOptions where = {};
 };
 
 // The checked command line.
@@ -34,8 +48,8 @@
   // The name of the file for check, diff and publish, or the request id for
   // explain.
   std::string argument;
-  // The "IP:port" of a daemon's admin API. It may be empty for check, and for
-  // explain with log files.
+  // The "IP:port" of a daemon's admin API. It may be empty for check and
+  // where, and for explain with log files.
   std::string daemon_address;
   // The id given by flag. If it is empty, the id in the note is used, or a new
   // one is generated if the note has none.
@@ -43,6 +57,8 @@
   OutputFormat output = OutputFormat::kTable;
   // If there are any, explain reads these log files instead of asking a daemon.
   std::vector<std::string> logs;
+  // Used by where only.
+  WhereOptions where;
 };
 
 }  // namespace poplarfork::cli
--- a/src/cli/table_func.cc
+++ b/src/cli/table_func.cc
@@ -13,8 +13,6 @@
 
 constexpr std::size_t kColumnGap = 2;
 
-using Row = std::vector<std::string>;
-
 bool IsListOfObjects(const value& list) {
   return list.is_array() && list.size() > 0 &&
          std::ranges::all_of(list.as_array(), [](const value& element) {
@@ -33,25 +31,6 @@
   return text;
 }
 
-// Returns the rows as lines whose columns are padded to the same width.
-std::string FormatRows(const std::vector<Row>& rows) {
-  std::vector<std::size_t> widths;
-  for (const Row& row : rows) {
-    widths.resize(std::max(widths.size(), row.size()));
-    for (std::size_t i = 0; i < row.size(); ++i)
-      widths[i] = std::max(widths[i], row[i].size());
-  }
-  std::string text;
-  for (const Row& row : rows) {
-    std::string line;
-    for (std::size_t i = 0; i < row.size(); ++i)
-      line += PadRight(row[i], widths[i] + kColumnGap);
-    line.erase(line.find_last_not_of(' ') + 1);
-    text += line + "\n";
-  }
-  return text;
-}
-
 std::string FormatListTable(const value& list) {
   std::set<std::string> keys;
   for (const value& element : list.as_array()) {
@@ -91,6 +70,24 @@
 
 }  // namespace
 
+std::string FormatRows(const std::vector<Row>& rows) {
+  std::vector<std::size_t> widths;
+  for (const Row& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::string text;
+  for (const Row& row : rows) {
+    std::string line;
+    for (std::size_t i = 0; i < row.size(); ++i)
+      line += PadRight(row[i], widths[i] + kColumnGap);
+    line.erase(line.find_last_not_of(' ') + 1);
+    text += line + "\n";
+  }
+  return text;
+}
+
 std::string FormatTable(const value& json) {
   if (IsListOfObjects(json))
     return FormatListTable(json);
--- a/src/fleet/configuration_type.h
+++ b/src/fleet/configuration_type.h
@@ -26,6 +26,9 @@
   std::string path_prefix;
   // A request of this route may run more than once.
   bool repeatable = false;
+  // Responses of this route are long and the requests are repeatable. Requests
+  // are handled like those of other repeatable routes.
+  bool is_download = false;
   // Requests of this route need no key of a client account.
   bool is_public = false;
   // Longest time that a request may be kept waiting.
--- a/src/gateway/http_servers.cc
+++ b/src/gateway/http_servers.cc
@@ -10,6 +10,7 @@
 #include "gateway/peer_driver.h"
 #include "gateway/request_driver.h"
 #include "gateway/response_func.h"
+#include "gateway/where_driver.h"
 #include "metrics/registry_func.h"
 #include "platform/request_func.h"
 #include "upstream/pool_func.h"
@@ -96,6 +97,8 @@
   }
   if (target == kConfigurationTarget && !gateway.configuration_text.empty())
     return MakeTextResponse(gateway.configuration_text, "application/json");
+  if (target.substr(0, target.find('?')) == kWhereTarget)
+    return HandleWhereRequest(gateway, request);
   return MakeProblemResponse(http::status::not_found, "no_such_target");
 }
 
--- a/src/gateway/http_servers.h
+++ b/src/gateway/http_servers.h
@@ -8,6 +8,8 @@
 // Request targets of the server on the control address.
 inline constexpr const char* kConfigurationTarget = "/configuration";
 inline constexpr const char* kMetricsTarget = "/metrics";
+// Its query is described in where_driver.h.
+inline constexpr const char* kWhereTarget = "/where";
 
 // Starts the HTTP servers for callers, for readiness checks, for requests for
 // gateway addresses and for other daemons. The addresses in the settings are
