--- a/tests/dispatch/explain_test.cc
+++ b/tests/dispatch/explain_test.cc
@@ -50,6 +50,18 @@
      },
      RefusalReason::kOverload,
      {Exclusion::kDraining}},
+    // The upstream due for coverage is not the cheapest one.
+    {"due for coverage", ExpectedResult::kGranted,
+     [](auto& fixture, auto&) {
+       ForEachUpstream(fixture, [&](UpstreamState& upstream) {
+         upstream.covered_at = fixture.now;
+       });
+       UpstreamState& due = fixture.FindUpstream("u0");
+       due.covered_at = fixture.now - seconds(3);
+       due.entry.data_centre = {"b"};
+       fixture.FindUpstream("u1").covered_at = fixture.now - seconds(3);
+       fixture.FindUpstream("u1").cover_not_before = fixture.now + seconds(1);
+     }},
     {"suspended",
      ExpectedResult::kGranted,
      [](auto& fixture, auto&) {
