--- a/src/dispatch/explain_func.cc
+++ b/src/dispatch/explain_func.cc
@@ -120,7 +120,7 @@
                                                const SlotRequest& slot_request,
                                                base::TimePoint now,
                                                Explanation& explanation) {
-  const base::AccountId account = ChargedAccount(slot_request);
+  const base::AccountId account = ChargedAccount(copy, slot_request);
   const std::optional<base::Duration> retry_after =
       allowance::TakeToken(copy.balances, account, now, kMeanJitter);
   const auto balance = copy.balances.by_account.find(account);
