Grant retries and hedges in services with many shards

- The share of the retry budget that hedges and repeatable retries leave was counted of the whole budget.
With the default settings a hedge was never granted in a service of 11 or more shards, nor a repeatable retry in one of 19 or more.
It is now counted of what the budget holds beyond one token.
- A retry that was refused, withdrawn or expired in the queue kept its token.

--- a/src/dispatch/admission_func.cc
+++ b/src/dispatch/admission_func.cc
@@ -128,7 +128,8 @@
          shard_state.limit_share;
 }
 
-// Returns the share of a full retry budget that the request must leave.
+// Returns the share of a full retry budget, without the token that the request
+// takes, that the request must leave.
 double ReservedShare(const SlotRequest& slot_request) {
   if (!slot_request.work_class.repeatable)
     return 0;
@@ -221,14 +222,23 @@
                        const SlotRequest& slot_request,
                        base::TimePoint now) {
   RefillRetryBudget(settings, shard_state, now);
+  // A share of the whole budget would leave nothing for some requests of a
+  // shard whose budget is a few tokens.
   const double reserved =
-      ReservedShare(slot_request) * RetryBudgetLimit(settings, shard_state);
+      ReservedShare(slot_request) *
+      std::max(RetryBudgetLimit(settings, shard_state) - 1, 0.0);
   if (shard_state.retry_budget.tokens < 1 + reserved)
     return false;
   shard_state.retry_budget.tokens -= 1;
   return true;
 }
 
+void GiveBackRetryToken(ShardState& shard_state,
+                        const SlotRequest& slot_request) {
+  if (slot_request.is_retry)
+    shard_state.retry_budget.tokens += 1;
+}
+
 void CountFirstAttempt(const Settings& settings,
                        ShardState& shard_state,
                        base::TimePoint now) {
--- a/src/dispatch/admission_func.h
+++ b/src/dispatch/admission_func.h
@@ -51,6 +51,11 @@
                        const SlotRequest& slot_request,
                        base::TimePoint now);
 
+// Gives back the retry that a slot request has taken if it is one. It must not
+// have been granted an upstream.
+void GiveBackRetryToken(ShardState& shard_state,
+                        const SlotRequest& slot_request);
+
 // Counts a granted request that is not a retry. The retry budget grows with the
 // rate of these.
 void CountFirstAttempt(const Settings& settings,
--- a/src/dispatch/dispatcher_func.cc
+++ b/src/dispatch/dispatcher_func.cc
@@ -135,6 +135,7 @@
     return actions;
   if (DropReplacedAttempt(dispatcher, daemon, slot_request, shard_state)) {
     // The request has paid with the grant that is replaced.
+    GiveBackRetryToken(shard_state, slot_request);
     SlotRequest paid_request = slot_request;
     paid_request.was_granted = true;
     return OnSlotRequest(dispatcher, daemon, paid_request, now, rng);
@@ -183,10 +184,12 @@
   }
   if (RefuseIfPaused(shard_state, daemon, slot_request, now, actions)) {
     GiveBackAccountToken(dispatcher, charged_account);
+    GiveBackRetryToken(shard_state, slot_request);
     return actions;
   }
   if (!MayQueue(shard_state, slot_request, now)) {
     GiveBackAccountToken(dispatcher, charged_account);
+    GiveBackRetryToken(shard_state, slot_request);
     CountUnserved(shard_state.loss_stats, 1, now);
     actions.push_back(
         SendRefusal{daemon, MakeRefusal(&shard_state, slot_request,
--- a/src/dispatch/queue_func.cc
+++ b/src/dispatch/queue_func.cc
@@ -147,6 +147,7 @@
     if (RefuseIfPaused(shard_state, queued_request.daemon,
                        queued_request.slot_request, now, actions)) {
       GiveBackAccountToken(dispatcher, queued_request.charged_account);
+      GiveBackRetryToken(shard_state, queued_request.slot_request);
       return true;
     }
     const base::Duration duration = MeanDuration(
@@ -156,6 +157,7 @@
       return false;
     CountUnserved(shard_state.loss_stats, 1, now);
     GiveBackAccountToken(dispatcher, queued_request.charged_account);
+    GiveBackRetryToken(shard_state, queued_request.slot_request);
     actions.push_back(
         SendRefusal{queued_request.daemon,
                     MakeRefusal(&shard_state, queued_request.slot_request,
@@ -167,12 +169,14 @@
 void RemoveFromQueue(Dispatcher& dispatcher,
                      const base::DaemonId& daemon,
                      AttemptId attempt_id) {
-  for (auto& [shard, shard_state] : dispatcher.shards) {
+  for (auto& shard : dispatcher.shards) {
+    ShardState& shard_state = shard.second;
     std::erase_if(shard_state.queue, [&](const QueuedRequest& queued_request) {
       if (queued_request.daemon != daemon ||
           queued_request.slot_request.attempt_id != attempt_id)
         return false;
       GiveBackAccountToken(dispatcher, queued_request.charged_account);
+      GiveBackRetryToken(shard_state, queued_request.slot_request);
       return true;
     });
   }
