--- a/tests/gateway/store_restore_test.cc
+++ b/tests/gateway/store_restore_test.cc
@@ -24,6 +24,11 @@
 
 constexpr int kParallelRequests = 4;
 
+// A pause of the test process for about seven times as long would make the
+// upstreams look slow to the dispatcher. With 20 ms, one of 178 ms on a busy
+// machine had the only upstream suspended and requests refused as overload.
+constexpr milliseconds kServiceTime(150);
+
 std::size_t CountUpstreams(const Gateway& gateway) {
   return static_cast<std::size_t>(std::count_if(
       gateway.view.upstreams.begin(), gateway.view.upstreams.end(),
@@ -95,6 +100,8 @@
   // Sends several requests to each gateway at the same time, so that they need
   // more than one upstream; all must be served.
   void ServeAll() {
+    for (const auto& [id, upstream] : this->upstreams)
+      upstream->service_time = kServiceTime;
     std::vector<std::shared_ptr<CallerResponse>> responses;
     for (const auto& gateway : this->gateways) {
       for (int i = 0; i < kParallelRequests; ++i) {
