Count the body of a request that was given up until it is freed

If a request was given up while its body was being read, for example at the read timeout behind requests in progress, the body was no longer counted as buffered although the pending read went on filling it. It now stays counted until the connection closes.

The end of such a connection was also noticed only after two seconds: of two reads that are pending on a socket, Asio informs only the first of the end of the stream. The end of the read that was given up now closes the connection.

BodyOfGivenUpRequestStaysCounted fails before each of the two changes.

--- a/src/edge/session.h
+++ b/src/edge/session.h
@@ -90,6 +90,7 @@
   void ContinueThenReadBody();
   void ReadBody();
   void OnBody(const boost::system::error_code& error);
+  void OnReadGivenUp(const boost::system::error_code& error);
   void HandleReadError(const boost::system::error_code& error);
   void Reject(const Rejection& rejection);
   void OnReadTimeout();
--- a/src/edge/session_reading.cc
+++ b/src/edge/session_reading.cc
@@ -124,8 +124,10 @@
 }
 
 void Session::OnHeader(const error_code& error) {
-  if (this->read_phase != ReadPhase::kReading)
+  if (this->read_phase != ReadPhase::kReading) {
+    this->OnReadGivenUp(error);
     return;
+  }
   if (error) {
     this->HandleReadError(error);
     return;
@@ -222,8 +224,10 @@
 }
 
 void Session::OnBody(const error_code& error) {
-  if (this->read_phase != ReadPhase::kReading)
+  if (this->read_phase != ReadPhase::kReading) {
+    this->OnReadGivenUp(error);
     return;
+  }
   if (error) {
     this->HandleReadError(error);
     return;
@@ -249,6 +253,14 @@
   this->Advance();
 }
 
+// Handles the end of a read operation whose request has been given up. Of two
+// operations that are pending on a socket, Asio informs only the first of the
+// end of the stream, so the one that discards input may not learn of it.
+void Session::OnReadGivenUp(const error_code& error) {
+  if (this->is_discarding && error && IsCallerGone(error))
+    this->CloseAndDrop();
+}
+
 void Session::HandleReadError(const error_code& error) {
   const bool is_first = this->pipeline.entries.empty();
   if (!is_first && IsCallerGone(error)) {
@@ -294,11 +306,12 @@
     this->CloseAndDrop();
 }
 
-// The parser is kept, because a read operation on it may be pending.
+// The parser is kept, because a read operation on it may be pending. Its body
+// stays counted until the connection closes; the copy for an upstream will not
+// exist.
 void Session::StopReading() {
   this->read_phase = ReadPhase::kEnded;
   this->read_deadline = base::TimePoint::max();
-  this->request_charge = {};
   this->request_copy_charge = {};
   this->pipeline.accepts_requests = false;
 }
--- a/tests/edge/connection_close_test.cc
+++ b/tests/edge/connection_close_test.cc
@@ -1,7 +1,10 @@
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <memory>
 #include <string>
 
+#include "base/byte_counter_type.h"
 #include "clock/now_func.h"
 #include "edge/server.h"
 #include "tests/edge/pipelining_fixture.h"
@@ -122,6 +125,25 @@
   BOOST_TEST(this->is_closed);
 }
 
+// Guards against an incomplete body that takes up memory without being counted,
+// because its request was given up while the body was still being read, and
+// against one that stays counted after the caller has closed the connection.
+BOOST_AUTO_TEST_CASE(BodyOfGivenUpRequestStaysCounted) {
+  constexpr std::uint64_t kBodyBytes = 1000;
+  const auto counter = std::make_shared<base::ByteCounter>();
+  this->server->SetMemoryCounter(counter);
+  this->Send(Get("/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+             std::to_string(kBodyBytes) + "\r\n\r\n" + std::string(10, 'x'));
+  // The body, and its copy for an upstream.
+  BOOST_TEST(counter->bytes == 2 * kBodyBytes);
+  this->server->CloseExpiredSessions(clock::Now() + std::chrono::seconds(30));
+  BOOST_TEST(counter->bytes == kBodyBytes);
+  this->Respond("/1");
+  this->socket.close();
+  this->Run();
+  BOOST_TEST(counter->bytes == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarfork::edge
