--- a/tests/gateway/store_restore_test.cc
+++ b/tests/gateway/store_restore_test.cc
@@ -24,7 +24,7 @@
 
 constexpr int kParallelRequests = 4;
 
-// A pause of the test process for about seven times as long would make the
+// A pause of the test process for several times as long would make the
 // upstreams look slow to the dispatcher. With 20 ms, one of 178 ms on a busy
 // machine had the only upstream suspended and requests refused as overload.
 constexpr milliseconds kServiceTime(150);
