Bound the cost of requests that the queue passes over

Cause: since queued requests that cannot use the free slot are passed over, each event while upstreams hang could try to place every queued request and daemon, and each attempt computes the fault probability of all upstreams. A queue of 2,000 would stop the loop of a slow gateway for far more than 10 ms.

Change: at most 8 placements may fail in one run of the queue; requests that are ruled out everywhere, as those of paused daemons, do not count. Whether enough upstreams are covered is looked at only if one is due.

--- a/src/dispatch/coverage_func.cc
+++ b/src/dispatch/coverage_func.cc
@@ -155,9 +155,6 @@
   const bool lossy = IsLossy(shard_state.loss_stats, now);
   const base::Duration interval =
       CoverageInterval(MustSucceed(slot_request), lossy);
-  const double margin = lossy ? kLossyFloorShareMargin : kCalmFloorShareMargin;
-  if (IsShareCovered(shard_state, floor_share + margin, interval, now))
-    return nullptr;
   if (!lossy && MustSucceed(slot_request) &&
       shard_state.loss_stats.coverage_credit < 1)
     return nullptr;
@@ -177,6 +174,11 @@
       best_rank = rank;
     }
   }
+  // Looked at last, because it takes the fault probabilities of all upstreams
+  // and usually none is due.
+  const double margin = lossy ? kLossyFloorShareMargin : kCalmFloorShareMargin;
+  if (!best || IsShareCovered(shard_state, floor_share + margin, interval, now))
+    return nullptr;
   return best;
 }
 
--- a/src/dispatch/queue_func.cc
+++ b/src/dispatch/queue_func.cc
@@ -22,6 +22,10 @@
 // duration would end after the request's deadline.
 constexpr double kShortDurationShare = 0.7;
 
+// Placements that may fail in one run of the queue. Each compares all
+// upstreams, and the queue may hold thousands of requests while upstreams hang.
+constexpr int kMaxFailedPlacements = 8;
+
 // Tells whether an upstream may have a free slot, whoever may use it. The slots
 // of stalled attempts count as free here, as they do for coverage and trials.
 bool HasAnyFreeSlot(const ShardState& shard_state) {
@@ -50,6 +54,17 @@
                      });
 }
 
+// Tells whether some upstream is not ruled out for this request.
+bool MayBeSentAnywhere(const ShardState& shard_state,
+                       const QueuedRequest& queued_request,
+                       base::TimePoint now) {
+  return std::any_of(shard_state.upstreams.begin(), shard_state.upstreams.end(),
+                     [&](const auto& item) {
+                       return MayBeSentTo(item.second, queued_request.daemon,
+                                          queued_request.slot_request, now);
+                     });
+}
+
 // Leaves out a request that no upstream can take. Without upstreams of its own
 // to avoid, it stands for all requests of its daemon.
 void PassOver(const QueuedRequest& queued_request, PassedOver& passed_over) {
@@ -103,6 +118,7 @@
                 base::Rng& rng,
                 Actions& actions) {
   PassedOver passed_over;
+  int failed_placements = 0;
   while (const auto next = NextQueuedIndex(shard_state, passed_over, now)) {
     QueuedRequest& queued_request = shard_state.queue[*next];
     const Placement placement = PlaceRequest(
@@ -112,6 +128,9 @@
       if (!HasAnyFreeSlot(shard_state) ||
           !IsRestricted(shard_state, queued_request, now))
         return;
+      if (MayBeSentAnywhere(shard_state, queued_request, now) &&
+          ++failed_placements >= kMaxFailedPlacements)
+        return;
       PassOver(queued_request, passed_over);
       continue;
     }
