Show the naming of lost gateways with real processes too

Cause: a gateway that is left alone has nobody who reports silent members to it, and does not use what it knows itself.

--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -36,6 +36,10 @@
 
 constexpr milliseconds kHeartbeat(1500);
 
+// Gateways ask for leases of 12 s and renew them every 3.5 s, so a lease lasts
+// this long at least after its holder is gone.
+constexpr milliseconds kShortestLeaseRest(8500);
+
 tcp::endpoint LoopbackEndpoint(const char* ip) {
   return {asio::ip::make_address(ip), 0};
 }
@@ -321,12 +325,22 @@
     ::kill(gateway.pid, signal_number);
 }
 
-void KillGateway(Fleet& fleet, std::size_t index, milliseconds delay) {
+void LoseGateway(Fleet& fleet, std::size_t index) {
   Gateway& gateway = fleet.gateways.at(index);
   SignalGateway(fleet, index, SIGKILL);
   ::waitpid(gateway.pid, nullptr, 0);
   gateway.pid = 0;
-  After(fleet, delay, [&fleet, index] { StartGateway(fleet, index); });
+  std::uint64_t lease = 0;
+  for (const auto& [key, item] : fleet.store->items) {
+    if (item.lease_id != 0 && key.find(gateway.ip + ":") != std::string::npos)
+      lease = item.lease_id;
+  }
+  if (lease == 0)
+    throw std::runtime_error("no entry of " + gateway.name);
+  After(fleet, kShortestLeaseRest, [&fleet, lease, name = gateway.name] {
+    Record(fleet, "the lease of " + name + " ends");
+    standin::RevokePlatformLease(*fleet.store, lease);
+  });
 }
 
 void After(Fleet& fleet, milliseconds delay, std::function<void()> action) {
@@ -353,7 +367,7 @@
       FinishCall(call, asio::error::timed_out);
   });
   const tcp::endpoint endpoint(
-      asio::ip::make_address(fleet.gateways.at(gateway).ip), 8161);
+      asio::ip::make_address(fleet.gateways.at(gateway).ip), request.port);
   call->socket.async_connect(endpoint, [call](const error_code& connected) {
     if (connected) {
       FinishCall(call, connected);
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -84,6 +84,7 @@
   bool is_chunked = false;
   std::string key;
   int deadline_ms = 10000;
+  unsigned short port = 8161;
 };
 
 struct Fleet {
@@ -125,8 +126,9 @@
 
 void SignalGateway(Fleet& fleet, std::size_t index, int signal_number);
 
-// Kills a gateway and starts it again after `delay`.
-void KillGateway(Fleet& fleet, std::size_t index, milliseconds delay);
+// Kills a gateway for good. Its lease ends at the earliest time at which it
+// can.
+void LoseGateway(Fleet& fleet, std::size_t index);
 
 void After(Fleet& fleet, milliseconds delay, std::function<void()> action);
 
