Await upstreams that work long on reused connections

Cause: Exchange::Send() took 3 s without a byte on a reused connection for a lost connection. An upstream that works for long sends nothing either. Ruled out: time budget, route time-out and end of the grace time, which were seconds away, and silent connections, of which there were none. Change: the timer is gone. The kernel closes a connection on which sent bytes stay unacknowledged (TCP_USER_TIMEOUT, set before, too), and the kernel of an upstream that works acknowledges them. Related: a deadline that passed on a reused connection counted as silence, too, and closed the pooled connections. Tests: LongWorkOnReusedConnectionIsAwaited, DeadlineOnReusedConnectionIsNoSilence and DrainingGatewaysAwaitLongWork failed before and pass. In SilentReusedConnectionIsReplaced an upstream that sent nothing stood for a silent connection, which is the fault; the kernel now drops the segments, and the test also checks that the request did not arrive.

--- a/src/upstream/exchange.cc
+++ b/src/upstream/exchange.cc
@@ -49,9 +49,9 @@
 }
 
 // Makes the kernel close the connection if the other end does not acknowledge
-// sent data within the limit. The kernel of a slow upstream still acknowledges
-// data; if a device on the path has lost the state of the connection, nothing
-// does.
+// sent data within the limit. The kernel of an upstream that is still working
+// acknowledges data; if a device on the path has lost the state of the
+// connection, nothing does.
 void SetTcpUserTimeout(asio::ip::tcp::socket& socket, base::Duration timeout) {
   const auto milliseconds = static_cast<unsigned>(
       std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
@@ -81,10 +81,6 @@
          error != http::error::partial_message;
 }
 
-bool IsKernelTimeout(const error_code& error) {
-  return error == asio::error::timed_out;
-}
-
 }  // namespace
 
 Exchange::Exchange(asio::io_context& loop,
@@ -159,9 +155,8 @@
   this->end.progress = Progress::kMaybeSent;
   if (this->handlers.on_sending)
     this->handlers.on_sending();
-  this->ArmTimer(
-      this->answer_timeout.value_or(this->pool.limits.silence_timeout),
-      this->answer_timeout || this->end.is_connection_reused);
+  this->ArmTimer(this->answer_timeout.value_or(base::Duration::max()),
+                 this->answer_timeout.has_value());
   this->serializer = std::make_unique<Serializer>(*this->request);
   http::async_write(
       this->connection->socket, *this->serializer,
@@ -285,14 +280,14 @@
 }
 
 // Arms the timer for the deadline of the exchange, or for `timeout` if that is
-// earlier and applies to the current step: while connecting, or to detect that
-// a reused connection is silent.
-void Exchange::ArmTimer(base::Duration timeout, bool is_silence_timer) {
+// earlier and applies to the current step: while connecting, or to limit the
+// time until the header of the response.
+void Exchange::ArmTimer(base::Duration timeout, bool is_answer_timer) {
   const base::TimePoint now = clock::Now();
   base::Duration time_left = this->deadline - now;
-  const bool ends_by_silence = is_silence_timer && timeout < time_left;
+  const bool ends_by_silence = is_answer_timer && timeout < time_left;
   if (timeout < time_left &&
-      (is_silence_timer || this->end.progress == Progress::kNotConnected))
+      (is_answer_timer || this->end.progress == Progress::kNotConnected))
     time_left = timeout;
   const std::uint64_t armed_generation = ++this->timer_generation;
   this->timer.expires_after(time_left);
@@ -313,6 +308,7 @@
     return;
   }
   this->end.is_silent = ends_by_silence;
+  this->has_timer_expired = true;
   this->Finish(asio::error::timed_out);
 }
 
@@ -328,7 +324,10 @@
   this->timer.cancel();
   this->end.error = error;
   this->end.is_malformed = IsParseError(error);
-  if (IsKernelTimeout(error) && this->end.is_connection_reused &&
+  // The kernel reports the same error for a silent connection. A deadline that
+  // has passed says nothing about the connection.
+  if (error == asio::error::timed_out && !this->has_timer_expired &&
+      this->end.is_connection_reused &&
       this->end.progress == Progress::kMaybeSent)
     this->end.is_silent = true;
   this->ReleaseConnection(this->end.progress == Progress::kComplete);
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -76,7 +76,7 @@
   void OnInterimHeader(unsigned status);
   void RejectStatus(unsigned status);
   void OnBody(const boost::system::error_code& error);
-  void ArmTimer(base::Duration timeout, bool is_silence_timer);
+  void ArmTimer(base::Duration timeout, bool is_answer_timer);
   void OnTimer(std::uint64_t armed_generation, bool ends_by_silence);
   bool HasReceivedBytes() const;
   void Finish(const boost::system::error_code& error);
@@ -101,6 +101,8 @@
   ExchangeEnd end;
   unsigned interim_responses = 0;
   bool is_counted_in_use = false;
+  // The timer has ended the exchange, and not the kernel.
+  bool has_timer_expired = false;
   bool is_finished = false;
 };
 
--- a/src/upstream/exchange_end_type.h
+++ b/src/upstream/exchange_end_type.h
@@ -22,8 +22,8 @@
   boost::system::error_code error;
   // The connection had served another request before.
   bool is_connection_reused = false;
-  // The kernel of the upstream acknowledged nothing for the silence timeout, or
-  // nothing was received on a reused connection within it.
+  // The kernel of the upstream acknowledged nothing on a reused connection for
+  // the silence timeout, or no response began within the limit of the call.
   bool is_silent = false;
   // The upstream sent bytes that are not a valid response: they cannot be
   // parsed, or the status is none that a final response may have.
--- a/src/upstream/pool_type.h
+++ b/src/upstream/pool_type.h
@@ -36,6 +36,9 @@
 // Timeouts of the connections in a pool.
 struct PoolLimits {
   base::Duration connect_timeout = std::chrono::seconds(1);
+  // Longest time for which the kernel of the other end may leave sent bytes
+  // unacknowledged. The time until a response is limited by the deadline of its
+  // call only, because an upstream that works for long sends nothing either.
   base::Duration silence_timeout = std::chrono::seconds(3);
   base::Duration idle_timeout = std::chrono::seconds(30);
   // Upper limit of the response bodies that are buffered at the same time. The
--- a/src/upstream/whole_call.h
+++ b/src/upstream/whole_call.h
@@ -33,7 +33,7 @@
   base::Duration timeout{};
   // Time within which the header of the response must arrive after the request
   // was sent. If it does not, the connection counts as silent. Without a value,
-  // the limit of the pool applies to reused connections.
+  // only `timeout` applies.
   std::optional<base::Duration> answer_timeout;
   std::size_t max_body_bytes = 0;
 };
--- a/tests/gateway/drain_test.cc
+++ b/tests/gateway/drain_test.cc
@@ -73,6 +73,22 @@
   BOOST_TEST(later->status == 504U);
 }
 
+// Guards against a shutdown that breaks off look-ups on reused connections to
+// upstreams that work for longer than the silence timeout.
+BOOST_FIXTURE_TEST_CASE(DrainingGatewaysAwaitLongWork, TwoGatewayFleet) {
+  for (int i = 0; i < 8; ++i)
+    this->SendAndWait(*this->first, {.request_id = "w" + std::to_string(i)});
+  this->first->upstream_pool.limits.silence_timeout = milliseconds(100);
+  for (const auto& [id, upstream] : this->upstreams)
+    upstream->service_time = milliseconds(700);
+  const auto response =
+      this->Send(*this->first, {.request_id = "l", .deadline_ms = "5000"});
+  BOOST_REQUIRE(this->RunUntil([this] { return CountRuns(*this, "l") == 1; }));
+  StartDrain(*this->first);
+  BOOST_REQUIRE(this->RunUntil([&response] { return response->ended; }));
+  BOOST_TEST(response->status == 200U);
+}
+
 // Guards against requests that are accepted late in the grace time although
 // they may take longer than the rest of it.
 BOOST_FIXTURE_TEST_CASE(DrainingGatewaysAcceptWhatTheyCanFinish,
--- a/tests/upstream/exchange_test.cc
+++ b/tests/upstream/exchange_test.cc
@@ -1,9 +1,11 @@
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
 
 #include "clock/now_func.h"
 #include "tests/support/scripted_upstream.h"
+#include "tests/support/silent_connection.h"
 #include "upstream/exchange.h"
 #include "upstream/pool_func.h"
 
@@ -173,18 +175,61 @@
 // connections must not be used again.
 BOOST_AUTO_TEST_CASE(SilentReusedConnectionIsReplaced) {
   ScriptedUpstream upstream(this->loop, [](ScriptedConnection& connection) {
-    return connection.request_count == 1 ? kCompleteResponse : std::string();
+    if (connection.request_count == 1)
+      support::DropReceivedSegments(connection.socket);
+    return kCompleteResponse;
   });
   this->RunExchange(upstream.GetAddress(), ConnectionReuse::kAllowed);
   const ExchangeOutcome second =
       this->RunExchange(upstream.GetAddress(), ConnectionReuse::kAllowed);
   BOOST_TEST(second.end.is_silent);
+  BOOST_TEST((second.end.progress == Progress::kMaybeSent));
+  BOOST_TEST(upstream.request_count == 1U);
   const ExchangeOutcome third =
       this->RunExchange(upstream.GetAddress(), ConnectionReuse::kAllowed);
   BOOST_TEST(!third.end.is_connection_reused);
   BOOST_TEST(third.body == "hello");
 }
 
+// Guards against taking an upstream that works for longer than the silence
+// timeout for a silent connection: requests on reused connections were broken
+// off, also while draining, and their callers got 502.
+BOOST_AUTO_TEST_CASE(LongWorkOnReusedConnectionIsAwaited) {
+  boost::asio::steady_timer work(this->loop);
+  ScriptedUpstream upstream(this->loop, [&](ScriptedConnection& connection) {
+    if (connection.request_count == 1)
+      return kCompleteResponse;
+    work.expires_after(4 * this->pool.limits.silence_timeout);
+    work.async_wait([&connection](const auto&) {
+      boost::asio::write(connection.socket,
+                         boost::asio::buffer(kCompleteResponse));
+    });
+    return std::string();
+  });
+  this->RunExchange(upstream.GetAddress(), ConnectionReuse::kAllowed);
+  const ExchangeOutcome second =
+      this->RunExchange(upstream.GetAddress(), ConnectionReuse::kAllowed);
+  BOOST_TEST(second.end.is_connection_reused);
+  BOOST_TEST((second.end.progress == Progress::kComplete),
+             second.end.error.message());
+  BOOST_TEST(second.body == "hello");
+}
+
+// Guards against taking a deadline that passes while an upstream works for a
+// silent connection, which would close the pooled connections to the upstream.
+BOOST_AUTO_TEST_CASE(DeadlineOnReusedConnectionIsNoSilence) {
+  ScriptedUpstream upstream(this->loop, [](ScriptedConnection& connection) {
+    return connection.request_count == 1 ? kCompleteResponse : std::string();
+  });
+  this->RunExchange(upstream.GetAddress(), ConnectionReuse::kAllowed);
+  const ExchangeOutcome second = this->RunExchange(
+      upstream.GetAddress(), ConnectionReuse::kAllowed,
+      boost::beast::http::verb::get, std::chrono::milliseconds(120));
+  BOOST_TEST(second.end.is_connection_reused);
+  BOOST_TEST((second.end.error == boost::asio::error::timed_out));
+  BOOST_TEST(!second.end.is_silent);
+}
+
 // Guards against reporting a slow response on a new connection as a silent
 // connection.
 BOOST_AUTO_TEST_CASE(SlowResponseOnNewConnectionIsATimeout) {
