Let the first attempt go on when a retry is sent

Cause: OnGrant() cancelled the attempts in progress when a retry was granted, so that the request depended on the new attempt alone. Ruled out: that the first upstream breaks by itself; its run ends with a close of the gateway. Change: attempts go on until one has completed the request, its deadline has passed or the caller has left, as hedged ones did. maxAttempts and the retry budget limit them as before. Weighed: only while draining, which leaves the 502 at other times.

--- a/src/request/attempt_func.cc
+++ b/src/request/attempt_func.cc
@@ -29,7 +29,7 @@
 Outcome CancelOutcome(const Attempt& attempt, CancelCause cause) {
   // A hedge that is given up may have been started a moment ago. Its dispatcher
   // judges by its age whether the upstream was slow.
-  return cause == CancelCause::kStalled && !attempt.is_hedge
+  return cause == CancelCause::kDeadline && !attempt.is_hedge
              ? Outcome::kStalled
              : Outcome::kCancelled;
 }
@@ -126,7 +126,7 @@
   if (!HasTimeForAttempt(request, now))
     return false;
   if (IsNotSent(result))
-    return request.failed_connections < kMaxFailedConnections;
+    return MayConnectAgain(request);
   if (request.sends >= request.arrival.max_attempts)
     return false;
   if (result == AttemptResult::kNotRun || result == AttemptResult::kMisdirected)
@@ -138,4 +138,8 @@
   return request.arrival.deadline - now >= kMinAttemptTime;
 }
 
+bool MayConnectAgain(const Request& request) {
+  return request.failed_connections < kMaxFailedConnections;
+}
+
 }  // namespace poplarfork::request
--- a/src/request/attempt_func.h
+++ b/src/request/attempt_func.h
@@ -8,8 +8,8 @@
 
 // Why attempts in progress are given up.
 enum class CancelCause {
-  // Their upstreams take too long.
-  kStalled,
+  // The deadline of the request has passed.
+  kDeadline,
   // Another attempt has completed the request.
   kCompleted,
   // The caller does not wait any more.
@@ -52,4 +52,7 @@
 // Tells whether enough time is left for another attempt.
 bool HasTimeForAttempt(const Request& request, base::TimePoint now);
 
+// Tells whether so few connections have failed that another may be tried.
+bool MayConnectAgain(const Request& request);
+
 }  // namespace poplarfork::request
--- a/src/request/request_func.cc
+++ b/src/request/request_func.cc
@@ -78,7 +78,7 @@
   if (HasOpenSlotRequest(request))
     WithdrawSlotRequest(request, actions);
   if (!request.attempts.empty()) {
-    CancelAttempts(request, CancelCause::kStalled, now, actions);
+    CancelAttempts(request, CancelCause::kDeadline, now, actions);
     FailRequest(request, Failure::kTimeout, base::Duration(0), actions);
     return;
   }
@@ -139,8 +139,8 @@
     OnDeadline(request, now, actions);
     return actions;
   }
-  if (!request.slot_request_is_hedge)
-    CancelAttempts(request, CancelCause::kStalled, now, actions);
+  // Attempts in progress go on even if they have stalled, because the new one
+  // may fail while their upstreams still work on the request.
   request.phase = Phase::kRunning;
   request.stall_handled = false;
   BeginAttempt(request, from, grant, now, actions);
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -20,10 +20,11 @@
   kRequestingSlot,
   // The dispatcher has replied that the request is queued.
   kQueued,
-  // The request has been sent to one upstream, or to two at the same time.
+  // The request has been sent to one upstream, or to several at the same time.
   kRunning,
-  // The request has been sent to an upstream that takes long, and a slot at
-  // another one has been requested from the dispatcher.
+  // The request has been sent to upstreams that take long, and a slot at
+  // another
+  // one has been requested from the dispatcher.
   kRunningAndRequestingSlot,
   // The request has received its final response.
   kEnded,
@@ -59,8 +60,8 @@
   base::TimePoint started_at{};
   // Time that the request spent in the dispatcher's queue.
   base::Duration waited{};
-  // A repeatable request is retried at another upstream if there is no response
-  // by this time.
+  // A repeatable request is also sent to another upstream if there is no
+  // response by this time.
   base::TimePoint retry_at{};
   // From this time on, a hedge may be sent; the maximum if none may.
   base::TimePoint hedge_at = base::TimePoint::max();
@@ -89,8 +90,7 @@
   dispatch::AttemptId slot_request_id;
   base::DaemonId asked_dispatcher;
   bool slot_request_is_retry = false;
-  // The slot is requested for a hedge. If it is granted, the attempt that runs
-  // already goes on.
+  // The slot is requested for a hedge.
   bool slot_request_is_hedge = false;
   base::TimePoint slot_request_repeat_at{};
   std::uint32_t unanswered_slot_requests = 0;
@@ -100,7 +100,8 @@
   std::uint32_t shard_index = 0;
   std::uint32_t full_shards = 0;
 
-  // Attempts in progress, in the order in which they were started; at most two.
+  // Attempts in progress, in the order in which they were started; at most
+  // `Arrival::max_attempts`.
   std::vector<Attempt> attempts;
   // Result of the last attempt that has ended.
   std::optional<AttemptResult> last_result;
--- a/src/request/second_attempt_func.cc
+++ b/src/request/second_attempt_func.cc
@@ -32,7 +32,7 @@
 // Tells whether the request may be sent again while an attempt is in progress.
 bool MayBeSentAgain(const Request& request, base::TimePoint now) {
   return request.arrival.work_class.repeatable &&
-         HasTimeForAttempt(request, now) &&
+         HasTimeForAttempt(request, now) && MayConnectAgain(request) &&
          request.sends < request.arrival.max_attempts;
 }
 
--- a/tests/gateway/drain_test.cc
+++ b/tests/gateway/drain_test.cc
@@ -6,6 +6,7 @@
 #include "clock/now_func.h"
 #include "fleet/view_func.h"
 #include "gateway/shutdown.h"
+#include "standin/http_server_func.h"
 #include "tests/gateway/two_gateway_fixture.h"
 
 namespace poplarfork::gateway {
@@ -89,6 +90,31 @@
   BOOST_TEST(response->status == 200U);
 }
 
+// Guards against a look-up that is lost although an upstream works on it: its
+// first attempt was given up for a second one, whose connection then broke.
+BOOST_FIXTURE_TEST_CASE(DrainingGatewaysKeepSlowAttempts, TwoGatewayFleet) {
+  // The dispatcher learns how long requests take, and so when to retry.
+  for (int i = 0; i < 40; ++i)
+    this->SendAndWait(*this->first, {.request_id = "w" + std::to_string(i)});
+  for (const auto& [id, upstream] : this->upstreams) {
+    upstream->service_time = milliseconds(800);
+    upstream->on_run = [this](const standin::HttpConnectionPtr& connection,
+                              const std::string& request_id) {
+      if (CountRuns(*this, request_id) < 2)
+        return false;
+      standin::ResetConnection(connection);
+      return true;
+    };
+  }
+  const auto response =
+      this->Send(*this->first, {.request_id = "l", .deadline_ms = "10000"});
+  BOOST_REQUIRE(this->RunUntil([this] { return CountRuns(*this, "l") == 1; }));
+  StartDrain(*this->first);
+  BOOST_REQUIRE(this->RunUntil([&response] { return response->ended; }));
+  BOOST_TEST(CountRuns(*this, "l") == 2);
+  BOOST_TEST(response->status == 200U);
+}
+
 // Guards against requests that are accepted late in the grace time although
 // they may take longer than the rest of it.
 BOOST_FIXTURE_TEST_CASE(DrainingGatewaysAcceptWhatTheyCanFinish,
