Close idle connections on which an upstream sends bytes

Cause: a pooled connection was looked at only when it was used again or had expired, up to 30 s later. Until then the kernel buffered what a faulty upstream sent without a request, up to megabytes for each connection, which counts towards the memory of the VM. Change: an idle connection is closed as soon as it becomes readable, which also shows at once that the upstream has closed it. Test: BytesOnIdleConnectionsCloseThem failed before (the connection stayed open for the 5 s for which the test waits) and passes.

--- a/src/upstream/pool_func.cc
+++ b/src/upstream/pool_func.cc
@@ -26,6 +26,38 @@
   return code != boost::asio::error::would_block;
 }
 
+// Closes a connection if it is idle and readable.
+void CloseIfReadable(Pool& pool,
+                     const std::string& address,
+                     const Connection* connection) {
+  const auto address_pool = pool.address_pools.find(address);
+  if (address_pool == pool.address_pools.end())
+    return;
+  std::erase_if(address_pool->second.idle,
+                [connection](const ConnectionPtr& idle) {
+                  return idle.get() == connection && IsReadable(*idle);
+                });
+}
+
+// Closes a connection as soon as it becomes readable while it is idle.
+// Otherwise the kernel would buffer what an upstream sends without a request,
+// up to megabytes for each connection.
+void WatchIdleConnection(Pool& pool,
+                         const std::string& address,
+                         Connection& connection) {
+  connection.socket.async_wait(
+      boost::asio::socket_base::wait_read,
+      [&pool, address, &connection](const boost::system::error_code& error) {
+        if (!error)
+          CloseIfReadable(pool, address, &connection);
+      });
+}
+
+void StopWatching(Connection& connection) {
+  boost::system::error_code ignored;
+  connection.socket.cancel(ignored);
+}
+
 }  // namespace
 
 ConnectionPtr TakeIdleConnection(Pool& pool,
@@ -35,8 +67,10 @@
   while (!idle.empty()) {
     ConnectionPtr connection = std::move(idle.back());
     idle.pop_back();
-    if (!IsExpired(pool, *connection, now) && !IsReadable(*connection))
+    if (!IsExpired(pool, *connection, now) && !IsReadable(*connection)) {
+      StopWatching(*connection);
       return connection;
+    }
   }
   return nullptr;
 }
@@ -51,6 +85,7 @@
     return;
   connection->idle_since = now;
   address_pool.idle.push_back(std::move(connection));
+  WatchIdleConnection(pool, address, *address_pool.idle.back());
 }
 
 void EvictIdleConnections(Pool& pool, const std::string& address) {
--- a/tests/upstream/endless_test.cc
+++ b/tests/upstream/endless_test.cc
@@ -1,3 +1,4 @@
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
@@ -5,6 +6,7 @@
 
 #include "clock/now_func.h"
 #include "tests/support/endless_upstream.h"
+#include "tests/support/scripted_upstream.h"
 #include "upstream/whole_call.h"
 
 namespace poplarfork::upstream {
@@ -12,6 +14,8 @@
 namespace {
 
 using support::EndlessUpstream;
+using support::ScriptedConnection;
+using support::ScriptedUpstream;
 
 constexpr std::size_t kMaxBodyBytes = 256 * 1024;
 
@@ -43,25 +47,67 @@
     {"chunks", kChunkedHead, "4\r\nbody\r\n"},
 };
 
+// A call whose end is awaited.
+struct PendingCall {
+  bool is_done = false;
+  BufferedResponse response;
+};
+
+// Writes bytes that belong to no response to a connection, after a pause and
+// then without end.
+class UnrequestedWriter {
+ public:
+  explicit UnrequestedWriter(boost::asio::io_context& loop) : timer(loop) {}
+
+  void Start(ScriptedConnection& connection) {
+    this->timer.expires_after(std::chrono::milliseconds(20));
+    this->timer.async_wait(
+        [this, &connection](const auto&) { this->Write(connection); });
+  }
+
+  bool is_closed = false;
+
+ private:
+  void Write(ScriptedConnection& connection) {
+    boost::asio::async_write(
+        connection.socket, boost::asio::buffer(this->bytes),
+        [this, &connection](const auto& error, std::size_t) {
+          if (error)
+            this->is_closed = true;
+          else
+            this->Write(connection);
+        });
+  }
+
+  boost::asio::steady_timer timer;
+  const std::string bytes = std::string(4096, 'x');
+};
+
 struct CallFixture {
-  BufferedResponse Call(const std::string& address, base::Duration timeout) {
+  std::shared_ptr<PendingCall> Start(const std::string& address,
+                                     base::Duration timeout,
+                                     std::size_t max_body_bytes) {
     CallOptions options;
     options.address = address;
     options.timeout = timeout;
-    options.max_body_bytes = kMaxBodyBytes;
+    options.max_body_bytes = max_body_bytes;
     auto request =
         std::make_shared<HttpRequest>(boost::beast::http::verb::get, "/", 11);
     request->set(boost::beast::http::field::host, "endless.example");
-    BufferedResponse response;
-    bool is_done = false;
+    auto call = std::make_shared<PendingCall>();
     StartCall(this->loop, this->pool, options, request,
-              [&](BufferedResponse ended) {
-                response = std::move(ended);
-                is_done = true;
+              [call](BufferedResponse ended) {
+                call->response = std::move(ended);
+                call->is_done = true;
               });
-    while (!is_done)
+    return call;
+  }
+
+  BufferedResponse Call(const std::string& address, base::Duration timeout) {
+    const auto call = this->Start(address, timeout, kMaxBodyBytes);
+    while (!call->is_done)
       this->loop.run_one();
-    return response;
+    return std::move(call->response);
   }
 
   boost::asio::io_context loop;
@@ -137,6 +183,23 @@
   BOOST_TEST(this->pool.buffered_bytes == 0U);
 }
 
+// Guards against bytes without end on an idle connection, which the kernel
+// buffers until the connection is used again or expires.
+BOOST_AUTO_TEST_CASE(BytesOnIdleConnectionsCloseThem) {
+  UnrequestedWriter writer(this->loop);
+  ScriptedUpstream upstream(this->loop, [&](ScriptedConnection& connection) {
+    writer.Start(connection);
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  });
+  const BufferedResponse response =
+      this->Call(upstream.GetAddress(), std::chrono::seconds(60));
+  BOOST_TEST(response.IsComplete());
+  BOOST_TEST(this->pool.address_pools[upstream.GetAddress()].idle.size() == 1U);
+  while (!writer.is_closed)
+    BOOST_REQUIRE(this->loop.run_one_for(std::chrono::seconds(5)) == 1U);
+  BOOST_TEST(this->pool.address_pools[upstream.GetAddress()].idle.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarfork::upstream
