Give up the largest response body when all bodies exceed their limit

Callers saw, while upstreams sent bodies without end: their own small responses given up as too large, and 503 memory_pressure for new requests. Cause: the part that exceeded the limit of all bodies was refused whichever response it belonged to, and the bodies in progress could fill more of the memory budget than the part from which requests are refused. Ruled out: bytes beyond the limits in one response, which end by their size in each part of a header and a body (EndlessResponsesEndByTheirSize). Change: the largest body is given up, and the smaller one goes on. Bodies from upstreams take at most half of the budget of a gateway. Tests: SmallResponsesFitBesideEndlessBodies and EndlessBodiesLeaveRoomForRequests failed before and pass.

--- a/src/gateway/memory_driver.cc
+++ b/src/gateway/memory_driver.cc
@@ -1,5 +1,7 @@
 #include "gateway/memory_driver.h"
 
+#include <algorithm>
+
 #include "base/memory_budget_func.h"
 #include "gateway/log_func.h"
 #include "metrics/registry_func.h"
@@ -10,6 +12,20 @@
 
 constexpr double kBytesPerMegabyte = 1e6;
 
+// The bodies that are being received from upstreams may take the budget divided
+// by this number. It is less than the part of the budget for requests, so that
+// bodies without end do not make the gateway refuse requests.
+constexpr std::uint64_t kResponseBudgetDivisor = 2;
+
+// Returns the limit of the bodies that are being received from upstreams.
+std::uint64_t MaxResponseBytes(const base::MemoryBudget& budget) {
+  const std::uint64_t default_limit = upstream::PoolLimits{}.max_buffered_bytes;
+  return budget.total_bytes == 0
+             ? default_limit
+             : std::min(default_limit,
+                        budget.total_bytes / kResponseBudgetDivisor);
+}
+
 }  // namespace
 
 void ApplyMemoryLimit(Gateway& gateway) {
@@ -17,6 +33,7 @@
       base::MakeMemoryBudget(static_cast<std::uint64_t>(
           gateway.settings.memory_limit_mb * kBytesPerMegabyte));
   gateway.upstream_pool.limits.memory_budget = budget;
+  gateway.upstream_pool.limits.max_buffered_bytes = MaxResponseBytes(budget);
   gateway.upstream_pool.memory = gateway.memory;
   if (!gateway.front_server)
     return;
--- a/src/upstream/pool_type.h
+++ b/src/upstream/pool_type.h
@@ -41,20 +41,26 @@
   // call only, because an upstream that works for long sends nothing either.
   base::Duration silence_timeout = std::chrono::seconds(3);
   base::Duration idle_timeout = std::chrono::seconds(30);
-  // Upper limit of the response bodies that are buffered at the same time. The
-  // smallest VMs have 160 MB.
+  // Upper limit of the response bodies that are buffered at the same time. If
+  // another part exceeds it, the largest body is given up. The smallest VMs
+  // have 160 MB.
   std::size_t max_buffered_bytes = 64UL * 1024 * 1024;
   // Limits of the bytes that the process buffers for callers and upstreams
   // together.
   base::MemoryBudget memory_budget;
 };
 
+// A call whose response is being buffered; defined in whole_call.cc.
+struct BufferedCall;
+
 // The connections to all upstreams, by address ("IP:port").
 struct Pool {
   PoolLimits limits;
   std::map<std::string, AddressPool, std::less<>> address_pools;
   // Size of the response bodies that are being buffered.
   std::size_t buffered_bytes = 0;
+  // The calls to which these bodies belong.
+  std::map<const BufferedCall*, std::weak_ptr<BufferedCall>> buffered_calls;
   // Counts what the process buffers for callers and upstreams together; may be
   // null.
   std::shared_ptr<base::ByteCounter> memory;
--- a/src/upstream/whole_call.h
+++ b/src/upstream/whole_call.h
@@ -18,7 +18,8 @@
   std::string body;
   // Counts the body in the memory counter of the pool.
   base::ByteCharge body_charge;
-  // The body exceeded `max_body_bytes`, and the connection was closed.
+  // The body exceeded `max_body_bytes`, or was the largest one when the limit
+  // of all bodies was reached. It was dropped, and the connection was closed.
   bool is_too_large = false;
 
   bool IsComplete() const {
--- a/tests/gateway/memory_test.cc
+++ b/tests/gateway/memory_test.cc
@@ -173,6 +173,32 @@
   BOOST_TEST(this->most_bytes <= kBudgetBytes);
 }
 
+// Guards against requests that are refused for lack of memory because upstreams
+// send bodies without end.
+BOOST_FIXTURE_TEST_CASE(EndlessBodiesLeaveRoomForRequests, MemoryFleet) {
+  constexpr std::size_t kEndlessBodies = 4;
+  std::size_t ended_writes = 0;
+  for (const auto& [id, upstream] : this->upstreams) {
+    upstream->on_run = [&](const standin::HttpConnectionPtr& connection,
+                           const std::string& request_id) {
+      standin::SendBytes(connection,
+                         "HTTP/1.1 200 OK\r\nAttempt-Id: " + request_id +
+                             "\r\nResponse-Signature: s\r\n\r\n" +
+                             std::string(kLargeBodyBytes, 'x'),
+                         [&ended_writes](bool) { ++ended_writes; });
+      return true;
+    };
+  }
+  for (std::size_t i = 0; i < kEndlessBodies; ++i)
+    this->RequestLargeResponse();
+  this->Await([&] { return ended_writes >= kEndlessBodies; });
+  // What the kernel still buffers is read.
+  this->RunFor(std::chrono::milliseconds(300));
+  BOOST_TEST(this->gateway->memory->bytes > kLargeBodyBytes);
+  BOOST_TEST(HasMemoryForRequest(*this->gateway));
+  BOOST_TEST(this->most_bytes <= kRefusalBytes);
+}
+
 // Guards against completed responses that are not delivered while new requests
 // are refused.
 BOOST_FIXTURE_TEST_CASE(CompletedResponsesAreDeliveredUnderPressure,
--- a/tests/upstream/endless_test.cc
+++ b/tests/upstream/endless_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "base/byte_counter_type.h"
 #include "clock/now_func.h"
 #include "tests/support/endless_upstream.h"
 #include "tests/support/scripted_upstream.h"
@@ -47,6 +48,11 @@
     {"chunks", kChunkedHead, "4\r\nbody\r\n"},
 };
 
+// Bytes of the incomplete bodies in the tests of the limits that all responses
+// share, and number of these bodies, which reach the limit together.
+constexpr std::size_t kIncompleteBodyBytes = 250'000;
+constexpr std::size_t kIncompleteBodies = 4;
+
 // A call whose end is awaited.
 struct PendingCall {
   bool is_done = false;
@@ -110,6 +116,20 @@
     return std::move(call->response);
   }
 
+  // Starts calls whose bodies stay incomplete, and runs the loop until
+  // `buffered_bytes` are buffered.
+  std::vector<std::shared_ptr<PendingCall>> StartIncompleteCalls(
+      const std::string& address,
+      std::size_t buffered_bytes) {
+    std::vector<std::shared_ptr<PendingCall>> calls;
+    for (std::size_t i = 0; i < kIncompleteBodies; ++i)
+      calls.push_back(this->Start(address, std::chrono::seconds(60),
+                                  2 * kIncompleteBodyBytes));
+    while (this->pool.buffered_bytes < buffered_bytes)
+      this->loop.run_one();
+    return calls;
+  }
+
   boost::asio::io_context loop;
   Pool pool;
 };
@@ -200,6 +220,41 @@
   BOOST_TEST(this->pool.address_pools[upstream.GetAddress()].idle.empty());
 }
 
+// Guards against endless bodies that use up the limit of all responses, so that
+// the responses to other requests are given up.
+BOOST_AUTO_TEST_CASE(SmallResponsesFitBesideEndlessBodies) {
+  for (const bool has_memory_budget : {false, true}) {
+    CallFixture fixture;
+    ScriptedUpstream endless(fixture.loop, [](ScriptedConnection&) {
+      return "HTTP/1.1 200 OK\r\n\r\n" + std::string(kIncompleteBodyBytes, 'x');
+    });
+    ScriptedUpstream healthy(fixture.loop, [](ScriptedConnection&) {
+      return "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+             std::string(5000, 'y');
+    });
+    constexpr std::size_t kAllBytes = kIncompleteBodies * kIncompleteBodyBytes;
+    if (has_memory_budget) {
+      fixture.pool.memory = std::make_shared<base::ByteCounter>();
+      fixture.pool.limits.memory_budget.total_bytes =
+          kAllBytes + kIncompleteBodies * 64 * 1024 + 1000;
+    } else {
+      fixture.pool.limits.max_buffered_bytes = kAllBytes + 1000;
+    }
+    const auto endless_calls =
+        fixture.StartIncompleteCalls(endless.GetAddress(), kAllBytes);
+    const BufferedResponse response =
+        fixture.Call(healthy.GetAddress(), std::chrono::seconds(60));
+    BOOST_TEST(response.IsComplete());
+    BOOST_TEST(response.body.size() == 5000U);
+    std::size_t ended = 0;
+    for (const auto& call : endless_calls) {
+      ended += call->is_done ? 1 : 0;
+      BOOST_TEST(call->response.is_too_large == call->is_done);
+    }
+    BOOST_TEST(ended == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace poplarfork::upstream
